--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Placeholder.kt
@@ -0,0 +1,4 @@
+package yuccaflow.bench
+
+/** Keeps the module compilable until its first type is added. */
+internal object Placeholder
