--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -0,0 +1,45 @@
+package yuccaflow.http
+
+/** What is known after a request was sent. */
+sealed interface HttpResult {
+    /** The whole response arrived. */
+    data class Answered(
+        val response: HttpResponse,
+    ) : HttpResult
+
+    /** No byte of the request left this process, so the server cannot have run it. */
+    data class NotSent(
+        val reason: String,
+    ) : HttpResult
+
+    /** Bytes left, but no whole response arrived. The server may or may not have run the request. */
+    data class Unknown(
+        val reason: String,
+    ) : HttpResult
+}
+
+/** Settings of a client's connections. */
+data class HttpClientSettings(
+    val connectTimeoutMs: Long = 500,
+    val connectionsPerAddress: Int = 100,
+    val idleProbeAfterMs: Long = 5_000,
+    val bodyLimitBytes: Int = 1_048_576,
+)
+
+/**
+ * A pooled HTTP/1.1 client that sends one request at a time on a connection.
+ *
+ * A connection whose answer is late, missing, cancelled or not matched is closed and never reused.
+ */
+interface HttpClient {
+    /**
+     * Sends [request] to [address] and waits up to [timeoutMs] for the whole response.
+     *
+     * When [expectedRequestId] is given and the response carries another `X-Request-Id`, the connection is closed and the result is
+     * [HttpResult.Unknown]. Cancelling the coroutine closes the connection.
+     */
+    suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String? = null): HttpResult
+
+    /** Closes all connections. */
+    suspend fun close()
+}
--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -0,0 +1,26 @@
+package yuccaflow.http
+
+/** Answers requests. Called once per request, in the coroutine of the connection that the request arrived on. */
+fun interface HttpHandler {
+    /** Returns the response to [request]. Cancelled when the caller closes its connection. An exception becomes status 500. */
+    suspend fun handle(request: HttpRequest): HttpResponse
+}
+
+/** Limits that a server enforces on each connection. */
+data class HttpServerLimits(
+    val headerLimitBytes: Int = 16_384,
+    val requestLineLimitBytes: Int = 8_192,
+    val bodyLimitBytes: Int = 1_048_576,
+    val requestTimeoutMs: Long = 10_000,
+    val idleTimeoutMs: Long = 60_000,
+    val connectionLimit: Int = 10_000,
+)
+
+/** A listening HTTP/1.1 server. */
+interface HttpServer {
+    /** The address in use; its port is the real one when port 0 was asked for. */
+    val address: SocketAddress
+
+    /** Stops accepting connections, lets running requests finish for up to [drainMs], then closes every connection. */
+    suspend fun close(drainMs: Long)
+}
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/Placeholder.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package yuccaflow.router
-
-/** Keeps the module compilable until its first type is added. */
-internal object Placeholder
