--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/RunningRequests.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/RunningRequests.kt
@@ -41,7 +41,10 @@
 
 /** The requests that this router, as a primary, has sent and not finished. */
 interface RunningRequests {
-    /** Suspends until no request for [range] of [service] that was admitted before the call can still run at [target]: each is answered or past its deadline. */
+    /**
+     * Suspends until no request for [range] of [service] that was admitted before the call can still run at [target]: each is answered
+     * or past its deadline.
+     */
     suspend fun awaitNoneRunning(target: TargetId, service: ServiceName, range: KeyRange)
 
     /** Suspends until no request at all can still run at [target]. */
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/WorkAuthority.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/WorkAuthority.kt
@@ -7,8 +7,8 @@
 /** Whether this router may send one piece of work to a target now. */
 sealed interface WorkPermit {
     /**
-     * Work may be sent until [validUntilMs] (monotonic). [epoch] is the fence of the key's range, or 0 for a service that is not divided by key.
-     * [clock] is the target's latest clock reading, or null before the first answer.
+     * Work may be sent until [validUntilMs] (monotonic). [epoch] is the fence of the key's range, or 0 for a service that is not
+     * divided by key. [clock] is the target's latest clock reading, or null before the first answer.
      */
     data class Granted(
         val epoch: Long,
