--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
@@ -6,7 +6,7 @@
 import yuccaflow.control.ServiceName
 import yuccaflow.control.Snapshot
 import yuccaflow.control.TargetId
-import yuccaflow.router.admission.TargetLoad
+import yuccaflow.control.TargetLoad
 
 /** Version of the messages between routers; both ends must have the same one. */
 const val PEER_PROTOCOL_VERSION: Int = 1
