--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
@@ -74,11 +74,12 @@
         val load: TargetLoad?,
     ) : PeerMessage
 
-    /** The entry router no longer needs the answer. */
+    /** The entry router no longer needs the answer of [target]; the same request may run at another target of the same primary. */
     @Serializable
     @SerialName("cancel-forward")
     data class CancelForward(
         val requestId: String,
+        val target: TargetId,
     ) : PeerMessage
 
     /** Asks a peer to append for a router that cannot reach the log service. */
