Add the HTTP server and the pooled client on Netty's codec

Every part needs them. Idle connections past the limit are replaced rather than probed: a new connection is the cheaper proof that the path works.

--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
@@ -0,0 +1,90 @@
+package yuccaflow.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import kotlinx.coroutines.sync.Semaphore
+import java.util.concurrent.TimeUnit
+import kotlin.coroutines.cancellation.CancellationException
+
+/** Result of asking for a connection. */
+internal sealed interface Opened {
+    /** The connection is open. */
+    class Ready(
+        val connection: ClientConnection,
+    ) : Opened
+
+    /** The server could not be reached. */
+    class Failed(
+        val reason: String,
+    ) : Opened
+}
+
+/** The connections to one address. [permits] bounds the number in use. */
+internal class ConnectionPool(
+    private val address: SocketAddress,
+    private val settings: HttpClientSettings,
+) {
+    val permits = Semaphore(settings.connectionsPerAddress)
+    private val idle = ArrayDeque<ClientConnection>()
+    private var closed = false
+
+    /** Takes an idle connection, or null. Connections that were idle for too long may have gone silent and are closed instead. */
+    @Synchronized
+    fun takeIdle(): ClientConnection? {
+        val oldest = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(settings.idleProbeAfterMs)
+        while (idle.isNotEmpty() && idle.first().idleSinceNanos - oldest < 0) idle.removeFirst().close()
+        while (idle.isNotEmpty()) {
+            val connection = idle.removeLast()
+            if (connection.isUsable()) return connection
+            connection.close()
+        }
+        return null
+    }
+
+    /** Returns a connection that may carry another request. */
+    @Synchronized
+    fun giveBack(connection: ClientConnection) {
+        connection.idleSinceNanos = System.nanoTime()
+        if (closed) connection.close() else idle.addLast(connection)
+    }
+
+    /** Opens a new connection. */
+    suspend fun open(): Opened {
+        val inbox = Inbox()
+        val connecting = Bootstrap()
+            .group(EventLoops.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs.toInt())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(Pipeline(inbox))
+            .connect(address.toInet())
+        val failure = try {
+            connecting.awaitFailure()
+        } catch (cancelled: CancellationException) {
+            connecting.channel().close()
+            throw cancelled
+        }
+        if (failure != null) return Opened.Failed("cannot connect to $address: ${failure.message}")
+        return Opened.Ready(ClientConnection(connecting.channel(), inbox, settings.bodyLimitBytes))
+    }
+
+    /** Closes the idle connections, and the others when they are given back. */
+    @Synchronized
+    fun close() {
+        closed = true
+        idle.forEach { it.close() }
+        idle.clear()
+    }
+
+    private class Pipeline(
+        private val inbox: Inbox,
+    ) : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(HttpClientCodec(), inbox)
+        }
+    }
+}
--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
@@ -0,0 +1,29 @@
+package yuccaflow.http
+
+import io.netty.channel.ChannelFuture
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.util.concurrent.DefaultThreadFactory
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+
+/** The event loops that all servers and clients of the process share. Their threads do not keep the process alive. */
+internal object EventLoops {
+    // Event loops only move and parse bytes; handlers run elsewhere, so a few threads carry a host's connections.
+    private const val MAX_THREADS = 4
+
+    val group: EventLoopGroup by lazy {
+        val threads = Runtime.getRuntime().availableProcessors().coerceIn(1, MAX_THREADS)
+        MultiThreadIoEventLoopGroup(threads, DefaultThreadFactory("yuccaflow-http", true), NioIoHandler.newFactory())
+    }
+}
+
+/** Suspends until the operation is complete and returns its failure, or null when it succeeded. */
+internal suspend fun ChannelFuture.awaitFailure(): Throwable? =
+    suspendCancellableCoroutine { waiter -> addListener { waiter.resume(it.cause()) } }
+
+/** Converts to the form that Netty uses. The host is an IP number, so nothing is looked up. */
+internal fun SocketAddress.toInet(): InetSocketAddress = InetSocketAddress(InetAddress.getByName(host), port)
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -43,3 +43,6 @@
     /** Closes all connections. */
     suspend fun close()
 }
+
+/** Creates a client. Its connections are opened on demand. */
+fun httpClient(settings: HttpClientSettings = HttpClientSettings()): HttpClient = NettyHttpClient(settings)
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -24,3 +24,12 @@
     /** Stops accepting connections, lets running requests finish for up to [drainMs], then closes every connection. */
     suspend fun close(drainMs: Long)
 }
+
+/**
+ * Starts a server on [listen], whose host is an IP number; port 0 takes a free port.
+ *
+ * Malformed requests are refused with 400, 413, 414, 417 or 431, slow ones with 408, and their connections are closed.
+ * @throws java.io.IOException when the address cannot be bound.
+ */
+fun httpServer(listen: SocketAddress, limits: HttpServerLimits, handler: HttpHandler): HttpServer =
+    NettyHttpServer(listen, limits, handler)
--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
@@ -0,0 +1,73 @@
+package yuccaflow.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+
+/** [HttpServer] on Netty's NIO transport. Each connection has one coroutine, a child of the server's supervisor. */
+internal class NettyHttpServer(
+    listen: SocketAddress,
+    private val limits: HttpServerLimits,
+    private val handler: HttpHandler,
+) : HttpServer {
+    private val supervisor = SupervisorJob()
+    private val scope = CoroutineScope(supervisor + Dispatchers.Default)
+    private val connections = ConcurrentHashMap<Job, Inbox>()
+
+    @Volatile
+    private var draining = false
+
+    private val listener = ServerBootstrap()
+        .group(EventLoops.group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(Accept())
+        .bind(listen.toInet())
+        .syncUninterruptibly()
+        .channel()
+
+    override val address: SocketAddress = SocketAddress(listen.host, (listener.localAddress() as InetSocketAddress).port)
+
+    override suspend fun close(drainMs: Long) {
+        listener.close().awaitFailure()
+        draining = true
+        connections.values.forEach { it.offer(Inbound.Draining) }
+        withTimeoutOrNull(drainMs) { connections.keys.toList().joinAll() }
+        supervisor.cancelAndJoin()
+    }
+
+    private inner class Accept : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            val inbox = Inbox()
+            channel.pipeline().addLast(StrictRequestDecoder(limits), HttpResponseEncoder(), inbox)
+            val connection = ServerConnection(channel, inbox, limits, handler) { draining }
+            val overLimit = connections.size >= limits.connectionLimit
+            val job = scope.launch { if (overLimit) connection.refuseConnection() else connection.serve() }
+            connections[job] = inbox
+            job.invokeOnCompletion {
+                connections.remove(job)
+                channel.close()
+            }
+            channel.closeFuture().addListener { job.cancel() }
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 1_024
+    }
+}
--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/Refusals.kt
@@ -0,0 +1,22 @@
+package yuccaflow.http
+
+import java.util.UUID
+
+private const val MAX_REQUEST_ID_LENGTH = 128
+private val REQUEST_ID = Regex("[A-Za-z0-9._:-]{1,$MAX_REQUEST_ID_LENGTH}")
+
+/** Returns whether [text] may be used as an `X-Request-Id` in headers, paths and log lines. */
+fun isValidRequestId(text: String): Boolean = REQUEST_ID.matches(text)
+
+/**
+ * A response by the server itself, in the form that callers get for every refusal. [error] and [reason] are constants of this module,
+ * so they need no escaping.
+ */
+internal fun refusal(status: Int, error: String, reason: String, outcome: String, requestId: String?): HttpResponse {
+    val id = requestId?.takeIf(::isValidRequestId) ?: UUID.randomUUID().toString()
+    return HttpResponse(
+        status = status,
+        headers = headersOf("Content-Type" to "application/json", "X-Request-Id" to id, "Yuccaflow-Outcome" to outcome),
+        body = """{"error":"$error","reason":"$reason","request_id":"$id"}""".toByteArray(),
+    )
+}
--- /dev/null
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/RequestReader.kt
@@ -0,0 +1,117 @@
+package yuccaflow.http
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import java.io.ByteArrayOutputStream
+import io.netty.handler.codec.http.HttpRequest as NettyRequest
+
+/** Result of reading one request. */
+internal sealed interface RequestRead {
+    /** The whole request arrived. */
+    class Complete(
+        val request: HttpRequest,
+        val keepAlive: Boolean,
+    ) : RequestRead
+
+    /** The request must be refused and the connection closed. */
+    class Rejected(
+        val status: Int,
+        val error: String,
+        val reason: String,
+    ) : RequestRead
+
+    /** The caller closed the connection. */
+    data object Gone : RequestRead
+}
+
+/** Reads one request after its first byte has arrived. [continueBody] sends the interim response 100. */
+internal class RequestReader(
+    private val inbox: Inbox,
+    private val bodyLimitBytes: Int,
+    private val continueBody: suspend () -> Unit,
+) {
+    /** The request id of the head, as soon as it is known. */
+    var requestId: String? = null
+        private set
+
+    suspend fun read(): RequestRead {
+        while (true) {
+            return when (val item = inbox.receive()) {
+                null -> RequestRead.Gone
+                is Inbound.Head -> readBody(item.message as NettyRequest)
+                is Inbound.Malformed -> rejection(item.cause)
+                else -> continue
+            }
+        }
+    }
+
+    private suspend fun readBody(head: NettyRequest): RequestRead {
+        requestId = head.headers()["X-Request-Id"]
+        checkHead(head)?.let { return it }
+        if (HttpUtil.is100ContinueExpected(head)) continueBody()
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val item = inbox.receive()) {
+                null -> return RequestRead.Gone
+                is Inbound.Malformed -> return rejection(item.cause)
+                is Inbound.Body -> if (body.size() + item.bytes.size > bodyLimitBytes) return TOO_LARGE else body.write(item.bytes)
+                Inbound.End -> return complete(head, body.toByteArray())
+                else -> Unit
+            }
+        }
+    }
+
+    private fun checkHead(head: NettyRequest): RequestRead.Rejected? {
+        val headers = head.headers()
+        val version = head.protocolVersion()
+        val encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        val hosts = headers.getAll(HttpHeaderNames.HOST)
+        return when {
+            version != HttpVersion.HTTP_1_1 && version != HttpVersion.HTTP_1_0 -> malformed("the protocol must be HTTP/1.1 or HTTP/1.0")
+            originForm(head.uri()) == null -> malformed("the request target must be a path of printable ASCII characters")
+            hosts.size > 1 || (version == HttpVersion.HTTP_1_1 && hosts.isEmpty()) -> malformed("exactly one Host header is required")
+            encodings.isNotEmpty() && version == HttpVersion.HTTP_1_0 -> malformed("HTTP/1.0 has no Transfer-Encoding")
+            encodings.isNotEmpty() && encodings.singleOrNull()?.trim()?.lowercase() != "chunked" ->
+                malformed("the only Transfer-Encoding accepted is chunked")
+            HttpUtil.getContentLength(head, 0L) > bodyLimitBytes -> TOO_LARGE
+            headers.getAll(HttpHeaderNames.EXPECT).any { !it.equals("100-continue", ignoreCase = true) } ->
+                RequestRead.Rejected(EXPECTATION_FAILED, "expectation failed", "the only Expect value accepted is 100-continue")
+            else -> null
+        }
+    }
+
+    private fun complete(head: NettyRequest, body: ByteArray): RequestRead {
+        val request = HttpRequest(head.method().name(), originForm(head.uri())!!, head.headers().toHeaderList(), body)
+        return RequestRead.Complete(request, HttpUtil.isKeepAlive(head))
+    }
+
+    private fun rejection(cause: Throwable): RequestRead = when (cause) {
+        is TooLongHttpLineException -> RequestRead.Rejected(URI_TOO_LONG, "request line too long", "the request line is over the limit")
+        is TooLongHttpHeaderException -> RequestRead.Rejected(HEADERS_TOO_LARGE, "headers too large", "the headers are over the limit")
+        else -> malformed("the request is not valid HTTP/1.1")
+    }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val BODY_TOO_LARGE = 413
+        const val URI_TOO_LONG = 414
+        const val EXPECTATION_FAILED = 417
+        const val HEADERS_TOO_LARGE = 431
+
+        val TOO_LARGE = RequestRead.Rejected(BODY_TOO_LARGE, "body too large", "the body is over the limit")
+        val ABSOLUTE_FORM = Regex("https?://[^/?#]+", RegexOption.IGNORE_CASE)
+
+        fun malformed(reason: String) = RequestRead.Rejected(BAD_REQUEST, "malformed request", reason)
+
+        /** The path and query of a request target, or null when it has none. */
+        fun originForm(target: String): String? {
+            if (target.any { it !in '!'..'~' }) return null
+            val authority = ABSOLUTE_FORM.matchAt(target, 0) ?: return target.takeIf { it.startsWith('/') || it == "*" }
+            val rest = target.substring(authority.range.last + 1)
+            return if (rest.startsWith('/')) rest else "/$rest"
+        }
+    }
+}
