--- /dev/null
+++ b/yuccaflow-platform/src/main/kotlin/yuccaflow/platform/HttpTargetHealth.kt
@@ -0,0 +1,31 @@
+package yuccaflow.platform
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import yuccaflow.http.HttpClient
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResult
+import yuccaflow.http.SocketAddress
+
+/** Creates the reader of the targets' health and load endpoints. */
+fun httpTargetHealth(client: HttpClient, timer: TimerService): TargetHealth = HttpTargetHealth(client, timer)
+
+internal class HttpTargetHealth(
+    private val client: HttpClient,
+    private val timer: TimerService,
+) : TargetHealth {
+    override suspend fun probe(address: SocketAddress, timeoutMs: Long): OrderResult =
+        client.send(address, HttpRequest("GET", "/yuccaflow/health"), timeoutMs).toOrderResult(timer)
+
+    override suspend fun load(address: SocketAddress, timeoutMs: Long): TargetLoadReport? {
+        val result = client.send(address, HttpRequest("GET", "/yuccaflow/load"), timeoutMs)
+        val response = (result as? HttpResult.Answered)?.response?.takeIf { it.status == STATUS_OK }
+        return response?.decode(LoadAnswer.serializer())?.let { TargetLoadReport(it.inFlight, it.slots) }
+    }
+}
+
+@Serializable
+private class LoadAnswer(
+    @SerialName("in_flight") val inFlight: Int,
+    val slots: Int,
+)
--- /dev/null
+++ b/yuccaflow-platform/src/main/kotlin/yuccaflow/platform/HttpTargetOrders.kt
@@ -0,0 +1,99 @@
+package yuccaflow.platform
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import yuccaflow.http.HttpClient
+import yuccaflow.http.HttpHeader
+import yuccaflow.http.HttpHeaderList
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.HttpResult
+import yuccaflow.http.SocketAddress
+
+/** Creates the sender of orders and work to targets. */
+fun httpTargetOrders(client: HttpClient, timer: TimerService): TargetOrders = HttpTargetOrders(client, timer)
+
+internal class HttpTargetOrders(
+    private val client: HttpClient,
+    private val timer: TimerService,
+) : TargetOrders {
+    override suspend fun grant(address: SocketAddress, order: GrantOrder, timeoutMs: Long): OrderResult {
+        val body = GrantBody(order.ranges.map(::RangeLine), order.primaryEpoch, order.expiresAtClockMs, order.instance)
+        return client.send(address, jsonPost("/yuccaflow/grants", GrantBody.serializer(), body), timeoutMs).toOrderResult(timer)
+    }
+
+    override suspend fun revoke(address: SocketAddress, ranges: List<GrantedRange>, timeoutMs: Long): OrderResult {
+        val body = RevokeBody(ranges.map(::RangeLine))
+        return client.send(address, jsonPost("/yuccaflow/revoke", RevokeBody.serializer(), body), timeoutMs).toOrderResult(timer)
+    }
+
+    override suspend fun work(address: SocketAddress, request: HttpRequest, limits: WorkLimits): WorkResult {
+        val work = HttpRequest(request.method, request.target, workHeaders(request.headers, limits), request.body)
+        return when (val result = client.send(address, work, limits.timeoutMs, limits.requestId)) {
+            is HttpResult.NotSent -> WorkResult.NotRun(result.reason, shed = false, clock = null)
+            is HttpResult.Unknown -> WorkResult.Unknown(result.reason)
+            is HttpResult.Answered -> answered(result.response, limits)
+        }
+    }
+
+    override suspend fun cancel(address: SocketAddress, requestId: String) {
+        client.send(address, HttpRequest("POST", "/yuccaflow/cancel/$requestId"), CANCEL_TIMEOUT_MS)
+    }
+
+    private fun answered(response: HttpResponse, limits: WorkLimits): WorkResult {
+        val clock = response.clock(timer.nowMs())
+        val outcome = response.headers[OUTCOME_HEADER]
+        return when {
+            // Without the id the answer cannot be told from one to another request.
+            response.headers[REQUEST_ID_HEADER] != limits.requestId -> WorkResult.Unknown("the answer does not carry the request id")
+            outcome == NOT_RUN -> WorkResult.NotRun(response.refusalReason(), shed = response.status == SHED, clock = clock)
+            outcome != null -> WorkResult.Unknown("the target answered with outcome $outcome")
+            else -> WorkResult.Answered(response, clock)
+        }
+    }
+
+    private fun workHeaders(headers: HttpHeaderList, limits: WorkLimits): HttpHeaderList {
+        // Only this class may set the headers that targets act on.
+        val kept = headers.lines.filterNot {
+            it.name.startsWith(HEADER_PREFIX, ignoreCase = true) || it.name.equals(REQUEST_ID_HEADER, ignoreCase = true)
+        }
+        val added = listOfNotNull(
+            HttpHeader(REQUEST_ID_HEADER, limits.requestId),
+            HttpHeader("Yuccaflow-Epoch", limits.epoch.toString()),
+            HttpHeader("Yuccaflow-Primary-Epoch", limits.primaryEpoch.toString()),
+            limits.runBeforeClockMs?.let { HttpHeader("Yuccaflow-Run-Before", it.toString()) },
+        )
+        return HttpHeaderList(kept + added)
+    }
+
+    private companion object {
+        const val HEADER_PREFIX = "Yuccaflow-"
+        const val SHED = 503
+
+        // Cancelling only saves the target work, so it is not worth a long wait.
+        const val CANCEL_TIMEOUT_MS = 500L
+    }
+}
+
+@Serializable
+private class RangeLine(
+    val service: String,
+    val from: String,
+    val to: String?,
+    val epoch: Long,
+) {
+    constructor(range: GrantedRange) : this(range.service, range.from, range.to, range.epoch)
+}
+
+@Serializable
+private class GrantBody(
+    val ranges: List<RangeLine>,
+    @SerialName("primary_epoch") val primaryEpoch: Long,
+    @SerialName("expires_at_clock_ms") val expiresAtClockMs: Long,
+    val instance: String,
+)
+
+@Serializable
+private class RevokeBody(
+    val ranges: List<RangeLine>,
+)
--- /dev/null
+++ b/yuccaflow-platform/src/main/kotlin/yuccaflow/platform/TargetAnswer.kt
@@ -0,0 +1,44 @@
+package yuccaflow.platform
+
+import kotlinx.serialization.Serializable
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.HttpResult
+
+internal const val REQUEST_ID_HEADER = "X-Request-Id"
+internal const val OUTCOME_HEADER = "Yuccaflow-Outcome"
+internal const val NOT_RUN = "not-run"
+private const val CLOCK_HEADER = "Yuccaflow-Clock-Ms"
+private const val INSTANCE_HEADER = "Yuccaflow-Instance"
+
+@Serializable
+private class RefusalBody(
+    val reason: String? = null,
+    val error: String? = null,
+)
+
+/** The target's clock reading on this answer, or null when it carries none. */
+internal fun HttpResponse.clock(nowMs: Long): TargetClock? {
+    val clockMs = headers[CLOCK_HEADER]?.toLongOrNull() ?: return null
+    val instance = headers[INSTANCE_HEADER] ?: return null
+    return TargetClock(instance, clockMs, nowMs)
+}
+
+/** The reason that the target gives, or its status. */
+internal fun HttpResponse.refusalReason(): String {
+    val body = decode(RefusalBody.serializer())
+    return body?.reason ?: body?.error ?: "status $status"
+}
+
+/** What the answer to an order says. */
+internal fun HttpResult.toOrderResult(timer: TimerService): OrderResult = when (this) {
+    is HttpResult.NotSent -> OrderResult.NoAnswer(reason)
+    is HttpResult.Unknown -> OrderResult.NoAnswer(reason)
+    is HttpResult.Answered -> {
+        val clock = response.clock(timer.nowMs())
+        when {
+            response.status !in SUCCESS -> OrderResult.Refused(response.status, response.refusalReason(), clock)
+            clock == null -> OrderResult.NoAnswer("the answer carries no clock of the target")
+            else -> OrderResult.Done(clock)
+        }
+    }
+}
