--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ControlTable.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ControlTable.kt
@@ -77,8 +77,11 @@
     /** Tells whether [router] is registered and its lease has not ended. */
     fun isLive(router: RouterId): Boolean = routers[router]?.let { it.stage != RouterStage.ENDED } ?: false
 
-    /** Applies the record at [offset], which must follow [position]. */
-    fun apply(offset: Long, record: ControlRecord): Applied
+    /**
+     * Applies the record at [offset], which must be [position] + 1. A null [record] stands for one that could not be read; it is void.
+     * A checkpoint changes nothing and is not void.
+     */
+    fun apply(offset: Long, record: ControlRecord?): Applied
 }
 
 /** Result of applying one record. */
