--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ConfigFaults.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ConfigFaults.kt
@@ -7,7 +7,9 @@
 private fun targetFaults(state: ConfigState): List<String> =
     state.targets.values.flatMap { target ->
         listOfNotNull(
-            "[target ${target.id}] service: expected a service in force, found ${target.service}".takeIf { target.service !in state.services },
+            "[target ${target.id}] service: expected a service in force, found ${target.service}".takeIf {
+                target.service !in state.services
+            },
             "[target ${target.id}] zone: expected a zone in force, found ${target.zone}".takeIf { target.zone !in state.zones },
         )
     }
@@ -45,7 +47,13 @@
 }
 
 private fun furthest(left: String?, right: String?): String? =
-    if (left == null || right == null) null else if (compareKeys(left, right) >= 0) left else right
+    if (left == null || right == null) {
+        null
+    } else if (compareKeys(left, right) >= 0) {
+        left
+    } else {
+        right
+    }
 
 private fun routeFaults(state: ConfigState): List<String> =
     duplicates(state.services.values, { it.host.orEmpty() to it.pathPrefix }) { (host, path), services ->
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ConfigRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ConfigRules.kt
@@ -74,7 +74,13 @@
     if (note.base > state.version) return listOf("[note] base: expected at most the current version ${state.version}, found ${note.base}")
     return note.entries.mapNotNull { entry ->
         val touchedAt = state.touched[entry.subject] ?: 0
-        if (touchedAt > note.base) "[${entry.subject}] was changed by version $touchedAt; the note is based on version ${note.base}" else null
+        if (touchedAt >
+            note.base
+        ) {
+            "[${entry.subject}] was changed by version $touchedAt; the note is based on version ${note.base}"
+        } else {
+            null
+        }
     }
 }
 
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ReleaseNoteParser.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ReleaseNoteParser.kt
@@ -143,7 +143,11 @@
     private fun range(section: NoteSection, name: String): RangeSpec? {
         val service = section.word("service")
         val range = KeyRange(section.optional("from").orEmpty(), section.optional("to")?.ifEmpty { null })
-        if (range.to != null && compareKeys(range.from, range.to) >= 0) section.mistake("to", "a key above '${range.from}'", "'${range.to}'")
+        if (range.to != null &&
+            compareKeys(range.from, range.to) >= 0
+        ) {
+            section.mistake("to", "a key above '${range.from}'", "'${range.to}'")
+        }
         return service?.let { RangeSpec(name, ServiceName(it), range) }
     }
 
