--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ConfigRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ConfigRules.kt
@@ -53,10 +53,8 @@
         }
     if (note.id != record.id) return Verdict.Rejected(listOf("[note] id: expected ${record.id} as in the record, found ${note.id}"))
     if (note.entries.isEmpty()) return Verdict.Rejected(listOf("expected at least one entry, found none"))
-    val stale = staleFaults(state, note)
-    if (stale.isNotEmpty()) return Verdict.Rejected(stale)
-    val existence = note.entries.mapNotNull { existenceFault(state, it) }
-    if (existence.isNotEmpty()) return Verdict.Rejected(existence)
+    val conflicts = staleFaults(state, note).ifEmpty { note.entries.mapNotNull { existenceFault(state, it) } }
+    if (conflicts.isNotEmpty()) return Verdict.Rejected(conflicts)
     val changed = note.entries.fold(state) { before, entry -> withEntry(before, entry) }
     val faults = configFaults(changed)
     if (faults.isNotEmpty()) return Verdict.Rejected(faults)
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RangeRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RangeRules.kt
@@ -52,8 +52,8 @@
     val ranges = rangesOf(record.service)
     val left = ranges.exactly(record.left) ?: return noRange(record.service, record.left)
     val right = ranges.exactly(record.right) ?: return noRange(record.service, record.right)
-    settledFault(left, record.expectedLeftEpoch)?.let { return it }
-    settledFault(right, record.expectedRightEpoch)?.let { return it }
+    val fault = settledFault(left, record.expectedLeftEpoch) ?: settledFault(right, record.expectedRightEpoch)
+    if (fault != null) return fault
     if (left.range.to != right.range.from) return Change.Void("ranges ${left.range} and ${right.range} are not adjacent")
     if (left.owner != right.owner) {
         return Change.Void("ranges ${left.range} and ${right.range} have different owners, ${left.owner} and ${right.owner}")
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ReleaseNoteParser.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ReleaseNoteParser.kt
@@ -109,7 +109,8 @@
         val methods = methods(section)
         val keyRule = keyText?.let { keyRule(it) }
         val limitMs = section.number("run_limit_ms", 1..if (keyRule == null) MAX_RUN_LIMIT_MS else MAX_DIVIDED_RUN_LIMIT_MS)
-        if (path == null || keyText == null || methods == null || limitMs == null) return null
+        if (path == null || keyText == null) return null
+        if (methods == null || limitMs == null) return null
         return ServiceSpec(ServiceName(name), path, host, keyRule, methods, limitMs)
     }
 
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
@@ -86,11 +86,17 @@
     if (!isLive(record.by)) return notLive(record.by)
     val current = primaries[record.target]
     val currentEpoch = current?.epoch ?: NO_EPOCH
-    if (currentEpoch != record.expectedEpoch) return staleEpoch("primary of target ${record.target}", record.expectedEpoch, currentEpoch)
-    if (current?.router == record.router) return Change.Void("router ${record.router} is already the primary of target ${record.target}")
-    if (current != null && isLive(current.router) && record.by != current.router) {
-        return Change.Void("router ${current.router} is the primary of target ${record.target} and live; only it may hand over")
-    }
+    val fault =
+        when {
+            currentEpoch != record.expectedEpoch ->
+                staleEpoch("primary of target ${record.target}", record.expectedEpoch, currentEpoch)
+            current?.router == record.router ->
+                Change.Void("router ${record.router} is already the primary of target ${record.target}")
+            current != null && isLive(current.router) && record.by != current.router ->
+                Change.Void("router ${current.router} is the primary of target ${record.target} and live; only it may hand over")
+            else -> null
+        }
+    if (fault != null) return fault
     return Change.Effective(copy(primaries = primaries.put(record.target, PrimaryEntry(record.target, record.router, offset))))
 }
 
