Name the witness in heartbeat answers and mark log reads from memory

A call goes to an address. A router that restarted on the address of a recorded witness would otherwise confirm a lease that it is no witness of. A peer that cannot reach the log may still pass on records that it has read; such an answer must not count as a read that reached the end, so it says where it came from.

--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
@@ -41,10 +41,14 @@
         val controlPosition: Long,
     ) : PeerMessage
 
-    /** A witness's answer. [confirmed] is false when the witness holds no valid lease itself. */
+    /**
+     * A witness's answer. [confirmed] is false when the witness holds no valid lease itself. [witness] names the answering router, since
+     * a restarted router may listen on the address of a recorded witness and is none.
+     */
     @Serializable
     @SerialName("heartbeat-answer")
     data class HeartbeatAnswer(
+        val witness: RouterId,
         val controlPosition: Long,
         val confirmed: Boolean,
     ) : PeerMessage
@@ -108,7 +112,10 @@
         val waitMs: Long,
     ) : PeerMessage
 
-    /** Result of [ReadLog]; [failure] is null on success, and [expired] tells that the offset is no longer kept. */
+    /**
+     * Result of [ReadLog]; [failure] is null on success, and [expired] tells that the offset is no longer kept. [fromMemory] tells that
+     * the peer could not reach the log service and returns records that it had read before; they are true, but may not be the latest.
+     */
     @Serializable
     @SerialName("read-log-answer")
     class ReadLogAnswer(
@@ -117,6 +124,7 @@
         val endOffset: Long,
         val expired: Boolean,
         val failure: String?,
+        val fromMemory: Boolean = false,
     ) : PeerMessage
 
     /** Asks for the peer's whole state. */
