--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
@@ -174,6 +174,22 @@
     val data: ByteArray,
 )
 
+/** Why a request did not run, which decides whether the entry router tries again. */
+@Serializable
+enum class NotRunCause {
+    /** The primary may not send it now: it may be admitted elsewhere, or here when a move or a grant is complete. */
+    NOT_RESPONSIBLE,
+
+    /** The target could not be reached. */
+    UNREACHABLE,
+
+    /** The target or its queue is full. */
+    OVERLOADED,
+
+    /** It cannot be served before its deadline. */
+    TOO_LATE,
+}
+
 /** What became of a forwarded request. */
 @Serializable
 sealed interface ForwardOutcome {
@@ -191,6 +207,7 @@
     @SerialName("not-run")
     data class NotRun(
         val reason: String,
+        val cause: NotRunCause,
     ) : ForwardOutcome
 
     /** The request may or may not have run. */
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerSession.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerSession.kt
@@ -74,7 +74,7 @@
             else -> return null
         }
         return if (message is PeerMessage.ForwardRequest) {
-            PeerMessage.ForwardAnswer(ForwardOutcome.NotRun(reason), load = null)
+            PeerMessage.ForwardAnswer(ForwardOutcome.NotRun(reason, NotRunCause.NOT_RESPONSIBLE), load = null)
         } else {
             PeerMessage.Failure(reason)
         }
