--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -1,6 +1,7 @@
 package yuccaflow.http
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -51,6 +52,9 @@
     /** Time of the last return to the pool, from [System.nanoTime]. */
     var idleSinceNanos: Long = 0
 
+    @Volatile
+    private var lastWrite: ChannelFuture? = null
+
     /** Returns whether the connection is open and nothing arrived on it while it was idle. */
     fun isUsable(): Boolean = channel.isActive && inbox.poll() == null
 
@@ -61,9 +65,10 @@
             // Activity is checked on the event loop, where the connection cannot be closed between the check and the write.
             channel.eventLoop().execute {
                 val written = channel.isActive && mark.markSent()
-                if (written) channel.writeAndFlush(message)
+                if (written) lastWrite = channel.writeAndFlush(message)
                 waiter.resume(written)
             }
+            waiter.invokeOnCancellation { mark.abandon() }
         }
     }
 
@@ -108,7 +113,9 @@
 
     private fun complete(head: NettyResponse, body: ByteArray): ResponseRead {
         val response = HttpResponse(head.status().code(), head.headers().toHeaderList(), body)
-        return ResponseRead.Complete(response, HttpUtil.isKeepAlive(head) && channel.isActive)
+        // A server may answer before it has taken the whole request; what is left of it must not precede the next one.
+        val reusable = HttpUtil.isKeepAlive(head) && channel.isActive && lastWrite?.isSuccess == true
+        return ResponseRead.Complete(response, reusable)
     }
 
     private fun hasKnownLength(method: String, head: NettyResponse): Boolean =
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
@@ -44,8 +44,8 @@
     override val address: SocketAddress = SocketAddress(listen.host, (listener.localAddress() as InetSocketAddress).port)
 
     override suspend fun close(drainMs: Long) {
-        listener.close().awaitFailure()
         draining = true
+        listener.close().awaitFailure()
         connections.values.forEach { it.offer(Inbound.Draining) }
         withTimeoutOrNull(drainMs) { connections.keys.toList().joinAll() }
         supervisor.cancelAndJoin()
--- /dev/null
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -0,0 +1,241 @@
+package yuccaflow.http
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+private const val LONG_MS = 60_000L
+
+@DisplayName("An HTTP client")
+class HttpClientTest {
+    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val address = SocketAddress("127.0.0.1", listener.localPort)
+    private val accepted = AtomicInteger()
+    private val client = httpClient(HttpClientSettings(connectTimeoutMs = 10_000))
+    private val get = HttpRequest("GET", "/a", headersOf("X-Request-Id" to "r-1"))
+
+    /** Serves each connection with [script], which gets the number of the connection, from 1. */
+    private fun serve(script: (Socket, Int) -> Unit) {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) {
+                    val socket = listener.accept()
+                    val number = accepted.incrementAndGet()
+                    thread(isDaemon = true) { runCatching { socket.use { script(it, number) } } }
+                }
+            }
+        }
+    }
+
+    private fun send(timeoutMs: Long = LONG_MS, expectedId: String? = null, request: HttpRequest = get): HttpResult =
+        runBlocking { client.send(address, request, timeoutMs, expectedId) }
+
+    private fun Socket.answer(body: String, headers: String = "X-Request-Id: r-1\r\n") =
+        getOutputStream().write("HTTP/1.1 200 OK\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body".toByteArray())
+
+    private fun bodyOf(result: HttpResult) = (result as? HttpResult.Answered)?.response?.body?.decodeToString()
+
+    @AfterEach
+    fun stop() = runBlocking {
+        client.close()
+        listener.close()
+    }
+
+    @Nested
+    @DisplayName("reports NotSent only when no byte left")
+    inner class NotSent {
+        @Test
+        fun `for a refused connection`() {
+            listener.close()
+            expectThat(send()).isA<HttpResult.NotSent>()
+        }
+
+        @Test
+        fun `for a request that found no free connection in time`() = runBlocking {
+            val single = httpClient(HttpClientSettings(connectTimeoutMs = 10_000, connectionsPerAddress = 1))
+            val arrived = CountDownLatch(1)
+            serve { socket, _ ->
+                socket.readRequest()
+                arrived.countDown()
+                socket.getInputStream().read()
+            }
+            val holder = launch(Dispatchers.IO) { single.send(address, get, LONG_MS) }
+            arrived.await()
+            expectThat(single.send(address, get, 50)).isA<HttpResult.NotSent>()
+            holder.cancel()
+        }
+    }
+
+    @Nested
+    @DisplayName("reports Unknown once bytes left")
+    inner class Unknown {
+        @Test
+        fun `for an answer that comes late, and never gives that answer to the next request`() {
+            val next = CountDownLatch(1)
+            serve { socket, number ->
+                socket.readRequest()
+                if (number == 1) next.await()
+                socket.answer("answer $number")
+                socket.getInputStream().read()
+            }
+            expectThat(send(timeoutMs = 100)).isA<HttpResult.Unknown>()
+            next.countDown()
+            expectThat(bodyOf(send())).isEqualTo("answer 2")
+        }
+
+        @Test
+        fun `for the answer to another request, and closes the connection`() {
+            serve { socket, number ->
+                socket.readRequest()
+                socket.answer("answer $number", if (number == 1) "X-Request-Id: other\r\n" else "X-Request-Id: r-1\r\n")
+                socket.getInputStream().read()
+            }
+            expectThat(send(expectedId = "r-1")).isA<HttpResult.Unknown>()
+            expectThat(bodyOf(send(expectedId = "r-1"))).isEqualTo("answer 2")
+        }
+
+        @Test
+        fun `for a connection that is cut before the answer`() {
+            serve { socket, _ -> socket.readRequest() }
+            expectThat(send()).isA<HttpResult.Unknown>()
+        }
+
+        @Test
+        fun `for half of an answer with a length`() = brokenBy("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+
+        @Test
+        fun `for half of a chunked answer`() = brokenBy("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+
+        @Test
+        fun `for half of the headers`() = brokenBy("HTTP/1.1 200 OK\r\nContent-")
+
+        @Test
+        fun `for an answer that ends with the connection, since half of it would look whole`() = brokenBy("HTTP/1.1 200 OK\r\n\r\nhalf")
+
+        @Test
+        fun `for bytes that are not HTTP`() = brokenBy("ready\r\n\r\n")
+
+        @Test
+        fun `for a body over the limit`() = brokenBy("HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + "a".repeat(2_000_000))
+
+        private fun brokenBy(answer: String) {
+            serve { socket, _ ->
+                socket.readRequest()
+                socket.getOutputStream().write(answer.toByteArray())
+            }
+            expectThat(send()).isA<HttpResult.Unknown>()
+        }
+    }
+
+    @Nested
+    @DisplayName("keeps connections")
+    inner class Keeping {
+        @Test
+        fun `and uses one again after a whole answer`() {
+            serve { socket, number -> while (socket.readRequest()) socket.answer("on $number") }
+            expectThat(bodyOf(send())).isEqualTo("on 1")
+            expectThat(bodyOf(send())).isEqualTo("on 1")
+        }
+
+        @Test
+        fun `but opens a new one when the server has closed the idle one`() {
+            val closed = CountDownLatch(1)
+            serve { socket, number ->
+                socket.readRequest()
+                socket.answer("on $number")
+                if (number == 1) {
+                    socket.close()
+                    closed.countDown()
+                } else {
+                    socket.getInputStream().read()
+                }
+            }
+            expectThat(bodyOf(send())).isEqualTo("on 1")
+            closed.await()
+            // The close may reach the client after its next write, which it then has to report as unknown.
+            val result = send()
+            expectThat(result is HttpResult.Unknown || bodyOf(result) == "on 2").isTrue()
+        }
+
+        @Test
+        fun `but never takes a second answer on one for the answer to the next request`() {
+            val extra = CountDownLatch(1)
+            serve { socket, number ->
+                socket.readRequest()
+                socket.answer("on $number")
+                if (number == 1) {
+                    socket.answer("extra")
+                    extra.countDown()
+                }
+                socket.readRequest()
+            }
+            expectThat(bodyOf(send(expectedId = "r-1"))).isEqualTo("on 1")
+            extra.await()
+            // The second answer may reach the client after its next write.
+            expectThat(send(expectedId = "r-2")).isA<HttpResult.Unknown>()
+        }
+
+        @Test
+        fun `but not one that was idle for longer than the limit, since it may have gone silent`() = runBlocking<Unit> {
+            val impatient = httpClient(HttpClientSettings(connectTimeoutMs = 10_000, idleProbeAfterMs = 0))
+            serve { socket, number -> while (socket.readRequest()) socket.answer("on $number") }
+            expectThat(bodyOf(impatient.send(address, get, LONG_MS))).isEqualTo("on 1")
+            expectThat(bodyOf(impatient.send(address, get, LONG_MS))).isEqualTo("on 2")
+        }
+
+        @Test
+        fun `but not one whose answer says Connection close`() {
+            serve { socket, number ->
+                socket.readRequest()
+                socket.answer("on $number", "Connection: close\r\n")
+                socket.getInputStream().read()
+            }
+            expectThat(bodyOf(send())).isEqualTo("on 1")
+            expectThat(bodyOf(send())).isEqualTo("on 2")
+        }
+    }
+
+    @Test
+    fun `skips interim answers`() {
+        serve { socket, _ ->
+            socket.readRequest()
+            socket.getOutputStream().write("HTTP/1.1 100 Continue\r\n\r\n".toByteArray())
+            socket.answer("final")
+        }
+        expectThat(bodyOf(send())).isEqualTo("final")
+    }
+
+    @Test
+    fun `takes the answer to HEAD without a body`() {
+        serve { socket, _ ->
+            while (socket.readRequest()) socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n".toByteArray())
+        }
+        val result = send(request = HttpRequest("HEAD", "/a"))
+        expectThat(result).isA<HttpResult.Answered>().get { response.headers["Content-Length"] }.isEqualTo("5")
+    }
+
+    /** Reads one request without a body. Returns false when the client closed the connection. */
+    private fun Socket.readRequest(): Boolean {
+        val seen = StringBuilder()
+        while (!seen.endsWith("\r\n\r\n")) {
+            val byte = getInputStream().read()
+            if (byte < 0) return false
+            seen.append(byte.toChar())
+        }
+        return true
+    }
+}
--- /dev/null
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/RawCaller.kt
@@ -0,0 +1,45 @@
+package yuccaflow.http
+
+import java.io.ByteArrayOutputStream
+import java.net.Socket
+
+/** A response as it came off the wire. */
+class RawResponse(
+    val status: Int,
+    val headers: Map<String, String>,
+    val body: String,
+)
+
+/** A caller on a plain socket, which can send what a correct client would not. */
+class RawCaller(
+    address: SocketAddress,
+) : AutoCloseable {
+    private val socket = Socket(address.host, address.port).apply { soTimeout = READ_LIMIT_MS }
+
+    fun send(text: String): RawCaller = apply {
+        socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+        socket.getOutputStream().flush()
+    }
+
+    /** Reads one response whose body has a Content-Length. */
+    fun response(bodyExpected: Boolean = true): RawResponse {
+        val head = ByteArrayOutputStream()
+        while (!head.toString().endsWith("\r\n\r\n")) head.write(readByte())
+        val lines = head.toString().trim().split("\r\n")
+        val headers = lines.drop(1).associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        val length = if (bodyExpected) headers["content-length"]?.toInt() ?: 0 else 0
+        return RawResponse(lines.first().split(' ')[1].toInt(), headers, String(ByteArray(length) { readByte().toByte() }))
+    }
+
+    /** Returns whether the server has ended the connection with nothing more to read. */
+    fun isEnded(): Boolean = socket.getInputStream().read() == -1
+
+    override fun close() = socket.close()
+
+    private fun readByte(): Int = socket.getInputStream().read().also { check(it >= 0) { "the connection ended within a response" } }
+
+    private companion object {
+        // Only bounds how long a broken server hangs a test.
+        const val READ_LIMIT_MS = 30_000
+    }
+}
--- /dev/null
+++ b/yuccaflow-platform/src/test/kotlin/yuccaflow/platform/FakePlatform.kt
@@ -0,0 +1,36 @@
+package yuccaflow.platform
+
+import kotlinx.coroutines.runBlocking
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.HttpServerLimits
+import yuccaflow.http.SocketAddress
+import yuccaflow.http.headersOf
+import yuccaflow.http.httpClient
+import yuccaflow.http.httpServer
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** A server that answers each request with [answer] and remembers the requests. */
+class FakePlatform(
+    var answer: (HttpRequest) -> HttpResponse = { HttpResponse(200) },
+) : AutoCloseable {
+    val requests = CopyOnWriteArrayList<HttpRequest>()
+    private val server = httpServer(SocketAddress("127.0.0.1", 0), HttpServerLimits()) { request ->
+        requests += request
+        answer(request)
+    }
+    val client = httpClient()
+    val address: SocketAddress = server.address
+
+    fun answerJson(status: Int, body: String, vararg headers: Pair<String, String>) {
+        answer = { HttpResponse(status, headersOf(*headers), body.toByteArray()) }
+    }
+
+    /** Stops listening, so that connections are refused. */
+    fun stop() = runBlocking { server.close(0) }
+
+    override fun close() = runBlocking {
+        client.close()
+        server.close(0)
+    }
+}
--- /dev/null
+++ b/yuccaflow-platform/src/test/kotlin/yuccaflow/platform/HttpLogServiceTest.kt
@@ -0,0 +1,81 @@
+package yuccaflow.platform
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+@DisplayName("The log service over HTTP")
+class HttpLogServiceTest {
+    private val platform = FakePlatform()
+    private val log = httpLogService(platform.client, platform.address, timeoutMs = 60_000)
+
+    private fun append() = runBlocking { log.append("config", "record".toByteArray()) }
+
+    private fun read(from: Long) = runBlocking { log.read("config", from, 10, 0) }
+
+    @AfterEach
+    fun stop() = platform.close()
+
+    @Test
+    fun `returns the offset of an append`() {
+        platform.answerJson(201, """{"offset":9}""")
+        expectThat(append()).isEqualTo(AppendResult.Appended(9))
+        expectThat(platform.requests.single().target).isEqualTo("/streams/config")
+    }
+
+    @ParameterizedTest
+    @CsvSource("500, {}", "503, {}", "201, nothing")
+    fun `does not know the outcome of an append without a clear answer`(status: Int, body: String) {
+        platform.answerJson(status, body)
+        expectThat(append()).isA<AppendResult.AppendUnknown>()
+    }
+
+    @Test
+    fun `knows that a refused record or an unreachable service appended nothing`() {
+        platform.answerJson(413, "{}")
+        expectThat(append()).isA<AppendResult.NotAppended>()
+        platform.stop()
+        expectThat(httpLogAfterStop()).isA<AppendResult.NotAppended>()
+    }
+
+    private fun httpLogAfterStop() = runBlocking {
+        httpLogService(yuccaflow.http.httpClient(), platform.address).append("config", "record".toByteArray())
+    }
+
+    @Test
+    fun `reads records in order`() {
+        platform.answerJson(200, """{"first":1,"end":4,"records":[{"offset":2,"data":"YQ=="},{"offset":3,"data":"Yg=="}]}""")
+        expectThat(read(2)).isA<ReadResult.Read>().and {
+            get { records.map { it.data.decodeToString() } }.containsExactly("a", "b")
+            get { endOffset }.isEqualTo(4)
+        }
+    }
+
+    @Test
+    fun `tells where the stream begins when the offset has expired`() {
+        platform.answerJson(410, """{"first":17}""")
+        expectThat(read(2)).isEqualTo(ReadResult.Expired(17))
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            """{"first":1,"end":5,"records":[{"offset":2,"data":"YQ=="},{"offset":4,"data":"Yg=="}]}""",
+            """{"first":1,"end":5,"records":[{"offset":3,"data":"YQ=="}]}""",
+            """{"first":1,"end":5,"records":[{"offset":2,"data":"?"}]}""",
+            """{"first":1}""",
+        ],
+    )
+    fun `fails a read with a gap or another shape, since readers would disagree`(body: String) {
+        platform.answerJson(200, body)
+        expectThat(read(2)).isA<ReadResult.ReadFailed>()
+    }
+}
