--- /dev/null
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/telemetry/TelemetryTest.kt
@@ -0,0 +1,167 @@
+package yuccaflow.router.telemetry
+
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.tinylog.Level
+import org.tinylog.core.LogEntry
+import org.tinylog.runtime.RuntimeProvider
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.single
+import yuccaflow.control.OwnersReport
+import yuccaflow.control.RouterId
+import yuccaflow.control.StatusReport
+import yuccaflow.control.TargetsReport
+import yuccaflow.control.ZoneName
+import yuccaflow.http.HttpRequest
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+import java.util.concurrent.TimeUnit
+
+private const val PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00"
+
+@DisplayName("Telemetry")
+class TelemetryTest {
+    private val store = spanStore(requestsKept = 2)
+    private val tracing = routerTracing("entry-1", store)
+
+    @Nested
+    @DisplayName("traces")
+    inner class Traces {
+        @Test
+        fun `continue the caller's trace even when the caller did not sample it`() {
+            val span = tracing.start("entry", "r-1", PARENT)
+            span.tag("target", "katalog-01")
+            span.end()
+            expectThat(store.spans("r-1")).single().and {
+                get { traceId }.isEqualTo("0af7651916cd43dd8448eb211c80319c")
+                get { parentId }.isEqualTo("b7ad6b7169203331")
+                get { tags }.isEqualTo(mapOf("target" to "katalog-01"))
+                get { host }.isEqualTo("entry-1")
+                get { "00-$traceId-$spanId-01" }.isEqualTo(span.traceparent)
+            }
+        }
+
+        @Test
+        fun `start anew without a valid parent`() {
+            listOf(null, "", "00-zz-11-01", "junk").forEach { tracing.start("entry", "r-1", it).end() }
+            expectThat(store.spans("r-1"))
+                .hasSize(4)
+                .get { map { it.parentId }.distinct() }
+                .single()
+                .isNull()
+            expectThat(store.spans("r-1")).get { map { it.traceId }.distinct() }.hasSize(4)
+        }
+
+        @Test
+        fun `link hops by their traceparent`() {
+            val entry = tracing.start("entry", "r-1", null)
+            tracing.start("primary", "r-1", entry.traceparent).end()
+            entry.end()
+            val (primary, recorded) = store.spans("r-1")
+            expectThat(primary.parentId).isEqualTo(recorded.spanId)
+            expectThat(primary.spanId).isNotEqualTo(recorded.spanId)
+        }
+
+        @Test
+        fun `forget the oldest requests, and bound the spans of one`() {
+            repeat(100) { tracing.start("entry", "r-1", null).end() }
+            expectThat(store.spans("r-1")).hasSize(32)
+            tracing.start("entry", "r-2", null).end()
+            tracing.start("entry", "r-3", null).end()
+            expectThat(store.spans("r-1")).isEmpty()
+        }
+    }
+
+    @Nested
+    @DisplayName("log lines")
+    inner class LogLines {
+        @Test
+        fun `are JSON objects with fields, and one line even for texts with line ends`() {
+            val output = ByteArrayOutputStream()
+            val entry = LogEntry(
+                RuntimeProvider.createTimestamp(),
+                null,
+                mapOf("router" to "r\"1"),
+                "a.b.Lease",
+                null,
+                null,
+                -1,
+                null,
+                Level.WARN,
+                "ended\nsoon",
+                IllegalStateException("cause"),
+            )
+            JsonLinesWriter(PrintStream(output)).write(entry)
+            val line = output.toString().trim()
+            expectThat(line.lines()).hasSize(1)
+            val json = Json.parseToJsonElement(line).jsonObject.mapValues { it.value.jsonPrimitive.content }
+            expectThat(json)
+                .get { listOf(get("router"), get("level"), get("logger"), get("message")) }
+                .isEqualTo(listOf("r\"1", "warn", "Lease", "ended\nsoon"))
+            expectThat(json.getValue("error")).contains("cause")
+        }
+    }
+
+    @Nested
+    @DisplayName("the admin server")
+    inner class Admin {
+        private var ready = true
+        private val registry = meterRegistry("entry-1", "brest")
+        private val handler = adminHandler(
+            object : AdminSource {
+                override fun isReady() = ready
+
+                override fun status() = StatusReport(RouterId("id-1"), "entry-1", ZoneName("brest"), "LIVE", 900, 5, 3, 2, emptyList())
+
+                override fun owners() = OwnersReport(5, emptyList())
+
+                override fun targets() = TargetsReport(emptyList())
+
+                override fun metrics(): String = registry.scrape()
+            },
+            store,
+        )
+
+        private fun get(target: String, method: String = "GET") = runBlocking { handler.handle(HttpRequest(method, target)) }
+
+        private fun body(target: String) = get(target).body.decodeToString()
+
+        @Test
+        fun `is ready only while the router is, and healthy always`() {
+            expectThat(get("/ready").status).isEqualTo(200)
+            ready = false
+            expectThat(get("/ready").status).isEqualTo(503)
+            expectThat(get("/health").status).isEqualTo(200)
+        }
+
+        @Test
+        fun `shows status and traces as JSON with snake case names`() {
+            expectThat(body("/status")).contains("\"config_version\":2").contains("\"lease_remaining_ms\":900")
+            tracing.start("entry", "r-1", null).end()
+            expectThat(body("/trace/r-1")).contains("\"request_id\":\"r-1\"").contains("\"name\":\"entry\"")
+        }
+
+        @Test
+        fun `shows meters with host, zone and buckets for requests`() {
+            registry.timer(MetricNames.REQUESTS, "service", "katalog", "outcome", "answered").record(5, TimeUnit.MILLISECONDS)
+            expectThat(body("/metrics")).contains("yuccaflow_requests_seconds_bucket{host=\"entry-1\"").contains("zone=\"brest\"")
+        }
+
+        @Test
+        fun `refuses other paths and methods`() {
+            expectThat(get("/nothing").status).isEqualTo(404)
+            expectThat(get("/status", "POST").status).isEqualTo(405)
+        }
+    }
+}
