Add yuccactl with its commands, tests and launcher scripts

An append without an answer is repeated only after a read that does not show the record; a note that would be rejected is not appended, since that would use up its id. The tests found no fault in this, but a run by hand found that kotlinx-cli takes any word for a choice whose conversion accepts it (leave zoo brest marked a host), so the choice is an enum now.

--- /dev/null
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/CommandLine.kt
@@ -0,0 +1,144 @@
+package yuccaflow.cli
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import yuccaflow.control.MarkSubject
+import yuccaflow.http.SocketAddress
+
+private const val PROGRAM = "yuccactl"
+private const val DEFAULT_TIMEOUT_S = 30
+private const val MAX_TIMEOUT_S = 3_600
+private const val MS_PER_S = 1_000L
+
+/** Reads the command line. */
+internal fun readCommandLine(arguments: List<String>): Invocation = try {
+    CommandLine().read(arguments)
+} catch (ended: ParsingEnded) {
+    if (ended.status == 0) Invocation.Show(ended.text + EXIT_STATUSES, ExitStatus.DONE) else Invocation.Show(ended.text, ExitStatus.USAGE)
+}
+
+private const val EXIT_STATUSES = """
+Exit statuses: 0 done; 1 rejected; 2 the command line or the file is not valid; 3 the outcome is unknown or the time limit passed;
+4 the log service or the routers cannot be reached, and nothing was published.
+"""
+
+/** Thrown in place of the library's end of the process. */
+private class ParsingEnded(
+    val text: String,
+    val status: Int,
+) : RuntimeException(text)
+
+private class CommandLine {
+    private val parser = ArgParser(PROGRAM)
+    private val log by parser.option(ArgType.String, "log", "l", "Address of the log service as IP:PORT")
+    private val router by parser.option(
+        ArgType.String,
+        "router",
+        "r",
+        "Admin address of one router as IP:PORT, to ask it alone and without the log service",
+    )
+    private val timeout by parser
+        .option(
+            ArgType.Int,
+            "timeout",
+            "t",
+            "Seconds to wait until a change is in force everywhere",
+        ).default(DEFAULT_TIMEOUT_S)
+    private val json by parser.option(ArgType.Boolean, "json", "j", "Print JSON instead of text").default(false)
+    private val version by parser.option(ArgType.Boolean, "version", "v", "Print the version").default(false)
+    private var chosen: Command? = null
+
+    fun read(arguments: List<String>): Invocation {
+        throwAtEnd()
+        parser.subcommands(
+            FileCommand("check", "Check a release note without publishing it", Command::Check),
+            FileCommand("publish", "Publish a release note and wait until it is in force on every live router", Command::Publish),
+            MarkCommand("leave", "Mark a zone or host as leaving: it gets no new work", leaving = true),
+            MarkCommand("return", "Mark a zone or host as returned", leaving = false),
+            PlainCommand("status", "Show the live routers", Command.Status),
+            PlainCommand("owners", "Show which target owns each key range", Command.Owners),
+            PlainCommand("targets", "Show the targets with their primaries and load", Command.Targets),
+            PlainCommand("notes", "Show the published notes and marks with their outcomes", Command.Notes),
+            TraceCommand(),
+        )
+        parser.parse(arguments.toTypedArray())
+        if (version) {
+            return Invocation.Show(
+                "$PROGRAM ${CommandLine::class.java.`package`.implementationVersion ?: "unpackaged"}",
+                ExitStatus.DONE,
+            )
+        }
+        val command = chosen ?: return mistake("expected a command, found none")
+        return options(command)
+    }
+
+    private fun options(command: Command): Invocation {
+        val logAddress = log?.let { SocketAddress.parseOrNull(it) ?: return mistake("--log: expected IP:PORT, found '$it'") }
+        val routerAddress = router?.let { SocketAddress.parseOrNull(it) ?: return mistake("--router: expected IP:PORT, found '$it'") }
+        if (timeout !in 1..MAX_TIMEOUT_S) return mistake("--timeout: expected seconds from 1 to $MAX_TIMEOUT_S, found $timeout")
+        when (command) {
+            is Command.Check -> Unit
+            is Command.Publish, is Command.Mark, Command.Notes ->
+                if (logAddress == null) return mistake("expected --log IP:PORT with the address of the log service")
+            else ->
+                if (logAddress == null && routerAddress == null) return mistake("expected --log IP:PORT or --router IP:PORT")
+        }
+        return Invocation.Run(command, Options(logAddress, routerAddress, timeout * MS_PER_S, json))
+    }
+
+    private fun mistake(text: String) = Invocation.Show("$PROGRAM: $text. See $PROGRAM --help.", ExitStatus.USAGE)
+
+    /**
+     * Makes the library hand over its help and error texts instead of ending the process with its fixed status 127. It has no public way
+     * to do so, only a property that is internal to its module.
+     */
+    private fun throwAtEnd() {
+        val end: (String, Int) -> Nothing = { text, status -> throw ParsingEnded(text, status) }
+        ArgParser::class.java.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(parser, end)
+    }
+
+    private inner class PlainCommand(
+        name: String,
+        description: String,
+        private val command: Command,
+    ) : Subcommand(name, description) {
+        override fun execute() {
+            chosen = command
+        }
+    }
+
+    private inner class FileCommand(
+        name: String,
+        description: String,
+        private val command: (String) -> Command,
+    ) : Subcommand(name, description) {
+        private val file by argument(ArgType.String, "FILE", "File with the release note")
+
+        override fun execute() {
+            chosen = command(file)
+        }
+    }
+
+    private inner class MarkCommand(
+        name: String,
+        description: String,
+        private val leaving: Boolean,
+    ) : Subcommand(name, description) {
+        private val kind by argument(ArgType.Choice<MarkSubject>(), "KIND", "What to mark")
+        private val subject by argument(ArgType.String, "NAME", "Name of the zone or host")
+
+        override fun execute() {
+            chosen = Command.Mark(kind, subject, leaving)
+        }
+    }
+
+    private inner class TraceCommand : Subcommand("trace", "Show the hops of a request") {
+        private val requestId by argument(ArgType.String, "REQUEST-ID", "The X-Request-Id of the request")
+
+        override fun execute() {
+            chosen = Command.Trace(requestId)
+        }
+    }
+}
--- /dev/null
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Main.kt
@@ -0,0 +1,18 @@
+package yuccaflow.cli
+
+import kotlinx.coroutines.runBlocking
+import yuccaflow.http.HttpClientSettings
+import yuccaflow.http.httpClient
+import yuccaflow.platform.httpLogService
+import yuccaflow.platform.systemTimerService
+import kotlin.system.exitProcess
+
+/** Reads of the log come in batches of records in Base64. */
+private const val BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
+/** Entry point of `yuccactl`. */
+fun main(arguments: Array<String>) {
+    val client = httpClient(HttpClientSettings(bodyLimitBytes = BODY_LIMIT_BYTES))
+    val program = Yuccactl(System.out, System.err, client, systemTimerService()) { httpLogService(client, it) }
+    exitProcess(runBlocking { program.run(arguments.toList()) }.code)
+}
--- /dev/null
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ReportCommands.kt
@@ -0,0 +1,199 @@
+package yuccaflow.cli
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import yuccaflow.control.NoteOutcome
+import yuccaflow.control.OwnersReport
+import yuccaflow.control.SpanReport
+import yuccaflow.control.StatusReport
+import yuccaflow.control.TargetsReport
+import yuccaflow.control.TraceReport
+import yuccaflow.http.SocketAddress
+
+/** One router as printed by `status`; [status] is null when it gave no answer. */
+@Serializable
+internal data class RouterStatus(
+    val router: String,
+    val adminAddress: String,
+    val status: StatusReport?,
+    val failure: String?,
+)
+
+/** The routers as printed by `status`. */
+@Serializable
+internal data class RoutersReport(
+    val routers: List<RouterStatus>,
+)
+
+/** The published records as printed by `notes`. */
+@Serializable
+internal data class NotesReport(
+    val version: Long,
+    val leavingZones: List<String>,
+    val leavingHosts: List<String>,
+    val outcomes: List<NoteOutcome>,
+)
+
+/** The commands that show the state of the system. */
+internal class ReportCommands(
+    private val reader: StreamReader?,
+    private val queries: RouterQueries,
+    private val router: SocketAddress?,
+    private val console: Console,
+) {
+    private class KnownRouter(
+        val id: String,
+        val adminAddress: String,
+    )
+
+    /** Shows each live router, or the one asked for. */
+    suspend fun status(): ExitStatus {
+        val statuses = askAll("/status", StatusReport.serializer()).map { (router, answer) ->
+            when (answer) {
+                is RouterAnswer.Answered -> RouterStatus(answer.report.router.value, router.adminAddress, answer.report, null)
+                is RouterAnswer.NoAnswer -> RouterStatus(router.id, router.adminAddress, null, answer.reason)
+            }
+        }
+        console.result(RoutersReport.serializer(), RoutersReport(statuses)) { statusTable(it) }
+        if (statuses.any { it.status != null }) return ExitStatus.DONE
+        console.error(
+            if (statuses.isEmpty()) "no router is live. Start routers and try again." else "no router answered. Check their hosts.",
+        )
+        return ExitStatus.UNREACHABLE
+    }
+
+    /** Shows the owners of all ranges. */
+    suspend fun owners(): ExitStatus = first("/owners", OwnersReport.serializer()) { report ->
+        val rows = report.ranges.map {
+            val move = if (it.moving) "to ${it.movingTo ?: "nobody"}" else null
+            listOf(it.service.value, quoted(it.from), it.to?.let(::quoted) ?: "unbounded", it.owner.value, cell(it.epoch), cell(move))
+        }
+        table(listOf("SERVICE", "FROM", "TO", "OWNER", "EPOCH", "MOVE"), rows)
+    }
+
+    /** Shows the targets in force. */
+    suspend fun targets(): ExitStatus = first("/targets", TargetsReport.serializer()) { report ->
+        val rows = report.targets.map {
+            val state = when {
+                !it.inService -> "leaving"
+                it.reachable == false -> "unreachable"
+                it.reachable == null -> "unknown"
+                else -> "serving"
+            }
+            listOf(it.target.value, it.service.value, it.zone.value, it.address, cell(it.primary), state) +
+                listOf(it.capacity, it.inFlight, it.queued, it.requestsPerSecond).map(::cell)
+        }
+        table(listOf("TARGET", "SERVICE", "ZONE", "ADDRESS", "PRIMARY", "STATE", "CAPACITY", "RUNNING", "QUEUED", "PER SECOND"), rows)
+    }
+
+    /** Shows the published notes and marks. */
+    suspend fun notes(): ExitStatus {
+        val reader = checkNotNull(reader)
+        reader.readConfig()
+        val config = reader.config
+        val report = NotesReport(config.version, config.leavingZones.map { it.value }, config.leavingHosts.toList(), config.outcomes)
+        console.result(NotesReport.serializer(), report) { notesText(it) }
+        return ExitStatus.DONE
+    }
+
+    /** Shows the hops of a request, collected from all routers. */
+    suspend fun trace(requestId: String): ExitStatus {
+        val answers = askAll("/trace/$requestId", TraceReport.serializer()).map { it.second }
+        val spans = answers
+            .filterIsInstance<RouterAnswer.Answered<TraceReport>>()
+            .flatMap {
+                it.report.spans
+            }.sortedBy { it.startedAtMicros }
+        console.result(TraceReport.serializer(), TraceReport(requestId, spans)) { spanTree(it.spans) }
+        val silent = answers.filterIsInstance<RouterAnswer.NoAnswer>()
+        silent.forEach { console.error("spans may be missing: ${it.reason}") }
+        if (silent.size == answers.size) return ExitStatus.UNREACHABLE
+        if (spans.isEmpty()) console.error("no router remembers request $requestId. Only the latest requests are kept.")
+        return ExitStatus.DONE
+    }
+
+    private suspend fun routers(): List<KnownRouter> {
+        if (router != null) return listOf(KnownRouter("-", router.toString()))
+        val reader = checkNotNull(reader)
+        reader.readControl()
+        return reader.table.routers.values
+            .filter { reader.table.isLive(it.id) }
+            .sortedWith(compareBy({ it.zone.value }, { it.host }))
+            .map { KnownRouter(it.id.value, it.adminAddress) }
+    }
+
+    private suspend fun <T> askAll(path: String, shape: DeserializationStrategy<T>): List<Pair<KnownRouter, RouterAnswer<T>>> {
+        val routers = routers()
+        return coroutineScope { routers.map { async { it to queries.ask(it.adminAddress, path, shape) } }.awaitAll() }
+    }
+
+    /** Shows the report of the first router that answers, since all of them know the same. */
+    private suspend fun <T> first(path: String, shape: KSerializer<T>, text: (T) -> String): ExitStatus {
+        for (known in routers()) {
+            when (val answer = queries.ask(known.adminAddress, path, shape)) {
+                is RouterAnswer.NoAnswer -> console.progress("Router ${known.id} did not answer: ${answer.reason}")
+                is RouterAnswer.Answered -> {
+                    console.result(shape, answer.report, text)
+                    return ExitStatus.DONE
+                }
+            }
+        }
+        console.error("no router answered. Check that routers are live with `yuccactl status`.")
+        return ExitStatus.UNREACHABLE
+    }
+
+    private fun quoted(key: String) = "\"$key\""
+
+    private fun statusTable(report: RoutersReport): String {
+        val rows = report.routers.map { router ->
+            val status = router.status
+            if (status == null) {
+                listOf(router.router, "-", "-", router.adminAddress, "no answer", "-", "-", "-", "-")
+            } else {
+                val lease = if (status.leaseRemainingMs > 0) "${status.leaseRemainingMs} ms" else "none"
+                listOf(router.router, status.zone.value, status.host, router.adminAddress, status.stage.lowercase(), lease) +
+                    listOf(status.controlPosition, status.configPosition, status.configVersion).map(::cell)
+            }
+        }
+        return table(listOf("ROUTER", "ZONE", "HOST", "ADMIN", "STAGE", "LEASE", "CONTROL", "CONFIG", "VERSION"), rows)
+    }
+
+    private fun notesText(report: NotesReport): String {
+        val rows = report.outcomes.map {
+            listOf(it.id, cell(it.offset), if (it.version == null) "rejected" else "accepted", cell(it.version), cell(it.rejection))
+        }
+        val leaving = (report.leavingZones.map { "zone $it" } + report.leavingHosts.map { "host $it" }).joinToString()
+        return listOfNotNull(
+            "Version ${report.version}",
+            leaving.takeIf { it.isNotEmpty() }?.let { "Leaving: $it" },
+            table(listOf("ID", "OFFSET", "RESULT", "VERSION", "REASON"), rows),
+        ).joinToString("\n")
+    }
+
+    private fun spanTree(spans: List<SpanReport>): String {
+        val ids = spans.map { it.spanId }.toSet()
+        val start = spans.firstOrNull()?.startedAtMicros ?: 0
+        val rows = mutableListOf<List<String>>()
+
+        fun add(span: SpanReport, depth: Int) {
+            val tags = span.tags.entries
+                .sortedBy { it.key }
+                .joinToString(" ") { "${it.key}=${it.value}" }
+            rows +=
+                listOf("  ".repeat(depth) + span.name, span.host, millis(span.startedAtMicros - start), millis(span.durationMicros), tags)
+            spans.filter { it.parentId == span.spanId }.forEach { add(it, depth + 1) }
+        }
+        spans.filter { it.parentId !in ids }.forEach { add(it, 0) }
+        return table(listOf("SPAN", "HOST", "START MS", "DURATION MS", "TAGS"), rows)
+    }
+
+    private fun millis(micros: Long): String = cell(micros / MICROS_PER_MS)
+
+    private companion object {
+        const val MICROS_PER_MS = 1_000.0
+    }
+}
--- /dev/null
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Yuccactl.kt
@@ -0,0 +1,51 @@
+package yuccaflow.cli
+
+import yuccaflow.http.HttpClient
+import yuccaflow.http.SocketAddress
+import yuccaflow.platform.LogService
+import yuccaflow.platform.TimerService
+import java.io.PrintStream
+
+/** The command-line tool. [logAt] gives the log service at an address. */
+internal class Yuccactl(
+    private val out: PrintStream,
+    private val err: PrintStream,
+    private val client: HttpClient,
+    private val timer: TimerService,
+    private val logAt: (SocketAddress) -> LogService,
+) {
+    /** Runs the command line and returns the status to exit with. */
+    suspend fun run(arguments: List<String>): ExitStatus = when (val invocation = readCommandLine(arguments)) {
+        is Invocation.Show -> invocation.status.also { (if (it == ExitStatus.DONE) out else err).println(invocation.text) }
+        is Invocation.Run -> runCommand(invocation.command, invocation.options)
+    }
+
+    private suspend fun runCommand(command: Command, options: Options): ExitStatus {
+        val console = Console(out, err, options.json)
+        val log = options.log?.let(logAt)
+        val reader = log?.let { StreamReader(it) }
+        val queries = RouterQueries(client)
+        val publishing = PublishCommands(
+            publisher = if (log != null && reader != null) Publisher(log, reader, timer) else null,
+            rollout = reader?.let { Rollout(it, queries, timer) },
+            console = console,
+            nowMs = timer::nowMs,
+        )
+        val reports = ReportCommands(reader, queries, options.router, console)
+        return try {
+            when (command) {
+                is Command.Check -> publishing.check(command.file)
+                is Command.Publish -> publishing.publish(command.file, options.timeoutMs)
+                is Command.Mark -> publishing.mark(command, options.timeoutMs)
+                Command.Status -> reports.status()
+                Command.Owners -> reports.owners()
+                Command.Targets -> reports.targets()
+                Command.Notes -> reports.notes()
+                is Command.Trace -> reports.trace(command.requestId)
+            }
+        } catch (failure: LogUnreadable) {
+            console.error("cannot read the log service at ${options.log}: ${failure.message}. Check --log, or ask a router with --router.")
+            ExitStatus.UNREACHABLE
+        }
+    }
+}
--- /dev/null
+++ b/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/Fakes.kt
@@ -0,0 +1,130 @@
+package yuccaflow.cli
+
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
+import kotlinx.coroutines.runBlocking
+import yuccaflow.control.AdminJson
+import yuccaflow.control.ConfigRecord
+import yuccaflow.control.ControlRecord
+import yuccaflow.control.RouterId
+import yuccaflow.control.StatusReport
+import yuccaflow.control.ZoneName
+import yuccaflow.control.decodeConfigRecord
+import yuccaflow.control.encodeConfigRecord
+import yuccaflow.control.encodeControlRecord
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.HttpServerLimits
+import yuccaflow.http.SocketAddress
+import yuccaflow.http.httpServer
+import yuccaflow.platform.AppendResult
+import yuccaflow.platform.LogRecord
+import yuccaflow.platform.LogService
+import yuccaflow.platform.ReadResult
+import yuccaflow.platform.Streams
+import yuccaflow.platform.TimerService
+
+/** What happens to one append. */
+enum class AppendFault { NONE, ANSWER_LOST, RECORD_LOST, TAKES_EFFECT_LATE, REFUSED }
+
+/** A log service in memory with faults. */
+internal class FakeLog : LogService {
+    private val streams = mutableMapOf<String, MutableList<ByteArray>>()
+    private val firstKept = mutableMapOf<String, Long>()
+    private var late: ByteArray? = null
+
+    /** Faults of the next appends, in order. */
+    val appendFaults = ArrayDeque<AppendFault>()
+    var appends = 0
+    var readable: () -> Boolean = { true }
+
+    /** Runs before the next append takes effect, as a racing publisher would. */
+    var race: () -> Unit = {}
+
+    fun put(stream: String, data: ByteArray): Long {
+        val records = streams.getOrPut(stream) { mutableListOf() }
+        records += data
+        return records.size.toLong()
+    }
+
+    fun put(record: ConfigRecord) = put(Streams.CONFIG, encodeConfigRecord(record))
+
+    fun put(record: ControlRecord) = put(Streams.CONTROL, encodeControlRecord(record))
+
+    fun expireBefore(stream: String, offset: Long) {
+        firstKept[stream] = offset
+    }
+
+    fun configRecords(): List<ConfigRecord?> = streams[Streams.CONFIG].orEmpty().map(::decodeConfigRecord)
+
+    override suspend fun append(stream: String, data: ByteArray): AppendResult {
+        appends++
+        race().also { race = {} }
+        late?.let { put(stream, it) }
+        late = null
+        return when (appendFaults.removeFirstOrNull() ?: AppendFault.NONE) {
+            AppendFault.NONE -> AppendResult.Appended(put(stream, data))
+            AppendFault.ANSWER_LOST -> AppendResult.AppendUnknown("no answer").also { put(stream, data) }
+            AppendFault.RECORD_LOST -> AppendResult.AppendUnknown("no answer")
+            AppendFault.TAKES_EFFECT_LATE -> AppendResult.AppendUnknown("no answer").also { late = data }
+            AppendFault.REFUSED -> AppendResult.NotAppended("connection refused")
+        }
+    }
+
+    override suspend fun read(stream: String, fromOffset: Long, maxRecords: Int, waitMs: Long): ReadResult {
+        if (!readable()) return ReadResult.ReadFailed("no answer")
+        val first = firstKept[stream] ?: 1
+        if (fromOffset < first) return ReadResult.Expired(first)
+        val records = streams[stream].orEmpty()
+        val found = records
+            .withIndex()
+            .drop((fromOffset - 1).toInt())
+            .take(maxRecords)
+            .map { LogRecord(it.index + 1L, it.value) }
+        return ReadResult.Read(found, first, records.size + 1L)
+    }
+}
+
+/** Time that passes only while someone sleeps. */
+internal class SteppedTimer(
+    var onSleep: () -> Unit = {},
+) : TimerService {
+    private var now = 0L
+
+    override fun nowMs(): Long = now
+
+    override fun every(periodMs: Long): Flow<Long> = emptyFlow()
+
+    override suspend fun sleep(durationMs: Long) {
+        now += durationMs
+        onSleep()
+    }
+}
+
+/** The admin server of a router that has read `config` up to [configPosition]. */
+internal class FakeRouter(
+    val id: String,
+    var configPosition: Long = 0,
+) : AutoCloseable {
+    val reports = mutableMapOf<String, String>()
+    private val server = httpServer(SocketAddress("127.0.0.1", 0), HttpServerLimits()) { answer(it) }
+    val address: SocketAddress = server.address
+
+    fun registration() = ControlRecord.RouterRegistered(
+        RouterId(id),
+        ZoneName("brest"),
+        "host-$id",
+        "127.0.0.1:1",
+        address.toString(),
+        "127.0.0.1:2",
+        emptyList(),
+    )
+
+    override fun close() = runBlocking { server.close(0) }
+
+    private fun answer(request: HttpRequest): HttpResponse {
+        val status = StatusReport(RouterId(id), "host-$id", ZoneName("brest"), "LIVE", 900, 1, configPosition, 1, emptyList())
+        val body = if (request.path == "/status") AdminJson.encodeToString(StatusReport.serializer(), status) else reports[request.path]
+        return if (body == null) HttpResponse(404) else HttpResponse(200, body = body.toByteArray())
+    }
+}
