--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/peer/PeerNodeTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/peer/PeerNodeTest.kt
@@ -37,10 +37,10 @@
         fun `each of many concurrent calls gets its own answer over one connection`() = network {
             node(
                 "b",
-            ) { _, message -> HeartbeatAnswer((message as Heartbeat).controlPosition, true).also { delay(100 - it.controlPosition) } }
+            ) { _, message -> HeartbeatAnswer(B_ID, (message as Heartbeat).controlPosition, true).also { delay(100 - it.controlPosition) } }
             val a = node("a")
             val answers = (1L..90L).map { async { a.call(B, Heartbeat(RouterId("a"), it), 500) } }.awaitAll()
-            expectThat(answers.map { (it as PeerResult.Answered).message }).isEqualTo((1L..90L).map { HeartbeatAnswer(it, true) })
+            expectThat(answers.map { (it as PeerResult.Answered).message }).isEqualTo((1L..90L).map { HeartbeatAnswer(B_ID, it, true) })
             expectThat(dials).isEqualTo(1)
         }
 
@@ -49,11 +49,11 @@
             node("b") { _, message ->
                 val position = (message as Heartbeat).controlPosition
                 if (position == 1L) delay(150)
-                HeartbeatAnswer(position, true)
+                HeartbeatAnswer(B_ID, position, true)
             }
             val a = node("a")
             expectThat(a.call(B, Heartbeat(RouterId("a"), 1), 100)).isA<PeerResult.NoAnswer>()
-            expectThat(a.call(B, Heartbeat(RouterId("a"), 2), 500)).isEqualTo(PeerResult.Answered(HeartbeatAnswer(2, true)))
+            expectThat(a.call(B, Heartbeat(RouterId("a"), 2), 500)).isEqualTo(PeerResult.Answered(HeartbeatAnswer(B_ID, 2, true)))
             expectThat(dials).isEqualTo(1)
         }
 
@@ -83,13 +83,13 @@
 
         @Test
         fun `a slow answer on a working connection is waited for`() = network {
-            node("b") { _, _ -> HeartbeatAnswer(0, true).also { delay(5_000) } }
+            node("b") { _, _ -> HeartbeatAnswer(B_ID, 0, true).also { delay(5_000) } }
             expectThat(node("a").call(B, Heartbeat(RouterId("a"), 1), 10_000)).isA<PeerResult.Answered>()
         }
 
         @Test
         fun `a pause of this process does not count as silence of the peer`() = network {
-            node("b") { _, _ -> HeartbeatAnswer(0, true).also { delay(200) } }
+            node("b") { _, _ -> HeartbeatAnswer(B_ID, 0, true).also { delay(200) } }
             val a = node("a")
             val call = async { a.call(B, Heartbeat(RouterId("a"), 1), 1_000) }
             delay(60)
@@ -113,7 +113,7 @@
         @Test
         fun `a router that registers under a new id greets its peers again`() = network {
             val seen = mutableListOf<RouterId>()
-            node("b") { from, _ -> HeartbeatAnswer(0, true).also { seen += from } }
+            node("b") { from, _ -> HeartbeatAnswer(B_ID, 0, true).also { seen += from } }
             var id = "a"
             val a = node("a", identity = { RouterId(id) })
             a.call(B, Heartbeat(RouterId("a"), 1), 500)
@@ -133,9 +133,9 @@
 
         @Test
         fun `a router outside the control table may only ask for what it needs to register`() = network {
-            node("b", isKnownPeer = { false }) { _, _ -> HeartbeatAnswer(0, true) }
+            node("b", isKnownPeer = { false }) { _, _ -> HeartbeatAnswer(B_ID, 0, true) }
             val a = node("a")
-            expectThat(a.call(B, PeerMessage.SnapshotQuery, 500)).isEqualTo(PeerResult.Answered(HeartbeatAnswer(0, true)))
+            expectThat(a.call(B, PeerMessage.SnapshotQuery, 500)).isEqualTo(PeerResult.Answered(HeartbeatAnswer(B_ID, 0, true)))
             expectThat(a.call(B, PeerMessage.AppendLog("control", ByteArray(1)), 500))
                 .isA<PeerResult.Answered>()
                 .get { message }
@@ -147,6 +147,7 @@
     private companion object {
         val A = SocketAddress("127.0.0.1", 1)
         val B = SocketAddress("127.0.0.1", 2)
+        val B_ID = RouterId("b")
     }
 
     /** Nodes joined by connections in memory. */
@@ -163,7 +164,7 @@
             system: String = "test",
             identity: () -> RouterId = { RouterId(name) },
             isKnownPeer: (RouterId) -> Boolean = { true },
-            handler: PeerHandler = PeerHandler { _, _ -> HeartbeatAnswer(0, true) },
+            handler: PeerHandler = PeerHandler { _, _ -> HeartbeatAnswer(B_ID, 0, true) },
         ): PeerNode {
             val address = if (name == "a") A else B
             val incoming = Channel<PeerWire>(Channel.UNLIMITED).also { listeners[address] = it }
