Add the process launcher, the deployments, their notes and the demo

The demo runs the drill of either organisation with real processes. It has not run end to end yet: the daemon is not there.

--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Main.kt
@@ -0,0 +1,38 @@
+package yuccaflow.bench
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.optional
+import kotlinx.coroutines.runBlocking
+import kotlin.system.exitProcess
+
+/** Entry point of the demo and the benchmarks. */
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    val parser = ArgParser("yuccaflow-bench")
+    parser.subcommands(DemoCommand(), NoteCommand())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+}
+
+@OptIn(ExperimentalCli::class)
+private class DemoCommand : Subcommand("demo", "Zone drill under load with stand-ins and three routers") {
+    private val deployment by argument(ArgType.String, "deployment", "harpes or planwerk").optional().default("harpes")
+
+    override fun execute(): Unit = exitWith { runDemo(Deployment.named(deployment)) }
+}
+
+@OptIn(ExperimentalCli::class)
+private class NoteCommand : Subcommand("note", "Prints the first release note of a deployment, as in examples/") {
+    private val deployment by argument(ArgType.String, "deployment", "harpes or planwerk").optional().default("harpes")
+
+    override fun execute(): Unit = print(exampleNote(Deployment.named(deployment)))
+}
+
+/** Ends the program with status 0 when [run] returns true, and with status 1 when it returns false or fails. */
+private fun exitWith(run: suspend () -> Boolean) {
+    val passed = runCatching { runBlocking { run() } }.onFailure { System.err.println("failed: ${it.message}") }
+    exitProcess(if (passed.getOrDefault(false)) 0 else 1)
+}
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
@@ -0,0 +1,79 @@
+package yuccaflow.bench
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.File
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+/** A process that this program started. Its output goes to [log] and, line by line, to the listeners. */
+internal class ManagedProcess(
+    val name: String,
+    private val process: Process,
+    val log: File,
+) {
+    private val listeners = CopyOnWriteArrayList<(String) -> Unit>()
+
+    @Volatile
+    private var firstLine: String? = null
+
+    val pid: Long get() = process.pid()
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Exit status, or null while the process runs. */
+    val exitStatus: Int? get() = if (process.isAlive) null else process.exitValue()
+
+    init {
+        thread(isDaemon = true, name = "output-$name") {
+            log.bufferedWriter().use { writer ->
+                process.inputStream.bufferedReader().forEachLine { line ->
+                    writer.appendLine(line)
+                    writer.flush()
+                    if (firstLine == null && line.startsWith("{\"standin\"")) firstLine = line
+                    listeners.forEach { it(line) }
+                }
+            }
+        }
+    }
+
+    fun onLine(listener: (String) -> Unit) {
+        listeners += listener
+    }
+
+    /** Waits for the address line of a stand-in. */
+    suspend fun awaitReady() {
+        val ready = withTimeoutOrNull(READY_LIMIT_MS) {
+            while (firstLine == null && isAlive) delay(POLL_MS)
+        }
+        check(ready != null && firstLine != null) { "$name did not start within $READY_LIMIT_MS ms, see ${log.name}:\n${tail()}" }
+    }
+
+    /** Sends a signal by its name, for example `STOP` or `KILL`. */
+    fun signal(signal: String) {
+        ProcessBuilder("kill", "-$signal", pid.toString()).inheritIO().start().waitFor()
+    }
+
+    /** Waits up to [limitMs] for the process to end and returns its exit status, or null. */
+    fun awaitExit(limitMs: Long): Int? = if (process.waitFor(limitMs, TimeUnit.MILLISECONDS)) process.exitValue() else null
+
+    /** Asks the process to stop. A stopped process is continued first, since it could not react. */
+    fun terminate() {
+        if (!isAlive) return
+        signal("CONT")
+        process.destroy()
+    }
+
+    fun kill() {
+        process.destroyForcibly()
+        process.waitFor()
+    }
+
+    fun tail(): String = if (log.exists()) log.readLines().takeLast(TAIL_LINES).joinToString("\n") else ""
+
+    private companion object {
+        const val READY_LIMIT_MS = 30_000L
+        const val POLL_MS = 20L
+        const val TAIL_LINES = 20
+    }
+}
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/RouterPlan.kt
@@ -0,0 +1,41 @@
+package yuccaflow.bench
+
+import yuccaflow.http.SocketAddress
+
+/** The addresses of one router of a run. */
+internal data class RouterPlan(
+    val name: String,
+    val zone: String,
+    val caller: SocketAddress,
+    val admin: SocketAddress,
+    val peer: SocketAddress,
+    /** Address of the relay that callers use. */
+    val entry: SocketAddress,
+)
+
+/** The settings file of [router]. [translation] maps the peer address of another router to the relay that this router uses. */
+internal fun settingsText(
+    system: String,
+    router: RouterPlan,
+    logService: SocketAddress,
+    hostList: SocketAddress,
+    seeds: List<SocketAddress>,
+    translation: Map<SocketAddress, SocketAddress>,
+    extra: String,
+): String = buildString {
+    appendLine("[router]")
+    appendLine("system = $system")
+    appendLine("host = ${router.name}")
+    appendLine("zone = ${router.zone}")
+    appendLine("caller_listen = ${router.caller}")
+    appendLine("admin_listen = ${router.admin}")
+    appendLine("peer_listen = ${router.peer}")
+    appendLine("[platform]")
+    appendLine("log_service = $logService")
+    appendLine("host_list = $hostList")
+    appendLine("[peers]")
+    appendLine("seeds = ${seeds.joinToString(", ")}")
+    if (translation.isNotEmpty()) appendLine("[address-translation]")
+    translation.forEach { (advertised, reachable) -> appendLine("$advertised = $reachable") }
+    append(extra)
+}
