Add the lease rules, witnesses and rendezvous hashing

An answer of a witness that has read more than the router itself counts once the router has read as far; dropping it instead was ruled out because a busy log would then starve the heartbeats. The wait runs from the moment at which this reader first sees the majority, so a late reader waits longer. A witness suspects a router that cancels but sends it no heartbeats less and less often, since the cut lies between the two.

--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
@@ -117,7 +117,7 @@
 /** The smallest number that is more than half of [size]. */
 internal fun majorityOf(size: Int): Int = size / 2 + 1
 
-internal fun PersistentControlTable.liveRouter(router: RouterId): RouterEntry? = routers[router]?.takeIf { it.stage != RouterStage.ENDED }
+internal fun ControlTable.liveRouter(router: RouterId): RouterEntry? = routers[router]?.takeIf { it.stage != RouterStage.ENDED }
 
 internal fun PersistentControlTable.notLive(router: RouterId): Change.Void =
     Change.Void(if (router in routers) "the lease of router $router has ended" else "router $router is not registered")
--- /dev/null
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
@@ -0,0 +1,109 @@
+package yuccaflow.control
+
+/** Longest delay before a witness suspects again a router that keeps cancelling its suspicions but sends it no heartbeats. */
+private const val MAX_SUSPECT_AFTER_MS = 2_400L
+
+/** Delay between witnesses of one router before each of them ends its lease, so that usually only one record is written. */
+private const val END_STAGGER_MS = 100L
+
+/**
+ * What router [self] appends about suspicions: as a witness it suspects silent routers and records which suspicions it has read, as a
+ * suspected router it cancels, and it ends leases once the wait is over.
+ */
+class SuspicionTracker(
+    private val self: RouterId,
+    private val timing: LeaseTiming = LeaseTiming(),
+) {
+    private class Watch(
+        var heardAtMs: Long,
+        var suspectAfterMs: Long,
+        var suspicionOffset: Long? = null,
+        var readyAtMs: Long? = null,
+    )
+
+    private val watches = mutableMapOf<RouterId, Watch>()
+    private val appendedAtMs = mutableMapOf<ControlRecord, Long>()
+    private var lastDecisionMs: Long? = null
+
+    /** A heartbeat of [router] arrived. */
+    fun heard(router: RouterId, nowMs: Long) {
+        watches[router]?.let {
+            it.heardAtMs = nowMs
+            it.suspectAfterMs = timing.suspectAfterMs
+        }
+    }
+
+    /** This router has applied all records up to the position of [table]. Must be called before the next [decide]. */
+    fun tableRead(nowMs: Long, table: ControlTable) {
+        watches.keys.retainAll { table.isLive(it) }
+        for (entry in table.routers.values) {
+            if (entry.stage == RouterStage.ENDED) continue
+            val watch = watches.getOrPut(entry.id) { Watch(nowMs, timing.suspectAfterMs) }
+            val offset = entry.suspicion?.offset
+            if (watch.suspicionOffset != null && offset != watch.suspicionOffset) cancelled(watch, nowMs)
+            watch.suspicionOffset = offset
+            if (watch.readyAtMs == null && table.isSuspicionRead(entry)) watch.readyAtMs = nowMs
+        }
+    }
+
+    /** The records to append at [nowMs]. A record is returned again when it was not read back for a while. */
+    fun decide(nowMs: Long, table: ControlTable): List<ControlRecord> {
+        forgivePause(nowMs)
+        val due =
+            if (!table.isLive(self)) {
+                emptyList()
+            } else {
+                table.routers.values.mapNotNull { if (it.stage == RouterStage.ENDED) null else duty(nowMs, table, it) }
+            }
+        appendedAtMs.keys.retainAll(due.toSet())
+        return due.filter { record ->
+            val isDue = appendedAtMs[record]?.let { nowMs - it >= timing.repeatMs } ?: true
+            if (isDue) appendedAtMs[record] = nowMs
+            isDue
+        }
+    }
+
+    private fun duty(nowMs: Long, table: ControlTable, entry: RouterEntry): ControlRecord? {
+        val suspicion = entry.suspicion
+        return when {
+            entry.id == self -> suspicion?.let { ControlRecord.SuspicionCancelled(self, it.offset) }
+            suspicion == null ->
+                ControlRecord
+                    .Suspected(
+                        entry.id,
+                        self,
+                    ).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, entry.id) }
+            self in entry.witnesses && self !in suspicion.readBy -> ControlRecord.SuspicionRead(entry.id, suspicion.offset, self)
+            else -> ControlRecord.LeaseEnded(entry.id, suspicion.offset).takeIf { mayEnd(nowMs, table, entry, suspicion) }
+        }
+    }
+
+    private fun isSilent(nowMs: Long, router: RouterId): Boolean {
+        val watch = watches[router] ?: return false
+        val spreadMs = (unitHash(self.value, router.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs).toLong()
+        return nowMs - watch.heardAtMs >= watch.suspectAfterMs + spreadMs
+    }
+
+    private fun mayEnd(nowMs: Long, table: ControlTable, entry: RouterEntry, suspicion: Suspicion): Boolean {
+        val readyAtMs = watches[entry.id]?.readyAtMs ?: return false
+        val candidates = (listOf(suspicion.by) + entry.witnesses).distinct().filter { table.isLive(it) }
+        val rank = candidates.indexOf(self)
+        // A router outside the witnesses steps in last, for the case that all of them were lost after reading the suspicion.
+        val staggerMs = END_STAGGER_MS * if (rank >= 0) rank else candidates.size + 1
+        return nowMs - readyAtMs >= timing.endWaitMs + staggerMs
+    }
+
+    /** A cancellation shows that the router lives although no heartbeat of it arrives here; the next suspicion waits longer. */
+    private fun cancelled(watch: Watch, nowMs: Long) {
+        watch.readyAtMs = null
+        watch.heardAtMs = nowMs
+        watch.suspectAfterMs = minOf(watch.suspectAfterMs * 2, MAX_SUSPECT_AFTER_MS)
+    }
+
+    /** After a pause of its own this router has missed heartbeats that were sent, so it starts to listen afresh. */
+    private fun forgivePause(nowMs: Long) {
+        val pauseMs = nowMs - (lastDecisionMs ?: nowMs)
+        lastDecisionMs = nowMs
+        if (pauseMs >= timing.suspectAfterMs / 2) watches.values.forEach { it.heardAtMs = nowMs }
+    }
+}
--- /dev/null
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/WitnessesTest.kt
@@ -0,0 +1,106 @@
+package yuccaflow.control
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import strikt.assertions.isLessThanOrEqualTo
+
+internal class WitnessesTest {
+    private fun routers(vararg counts: Int): List<RouterEntry> =
+        counts.toList().flatMapIndexed { zone, count ->
+            (1..count).map {
+                RouterEntry(
+                    RouterId("r$zone-$it"),
+                    ZoneName("z$zone"),
+                    "",
+                    "",
+                    "",
+                    "",
+                    emptyList(),
+                    1,
+                    RouterStage.LIVE,
+                    null,
+                )
+            }
+        }
+
+    private fun sharesOf(routers: List<RouterEntry>): List<List<Int>> {
+        val zones = routers.associate { it.id to it.zone }
+        return routers.map { self ->
+            chooseWitnesses(self.id, self.zone, routers)
+                .groupBy { zones.getValue(it) }
+                .values
+                .map { it.size }
+                .sortedDescending()
+        }
+    }
+
+    @Nested
+    inner class Spread {
+        @Test
+        fun `guards against a zone that has a majority or whose loss leaves none`() {
+            expectThat(sharesOf(routers(4, 4, 4))).all { isEqualTo(listOf(3, 2, 2)) }
+            expectThat(sharesOf(routers(3, 3, 3))).all { isEqualTo(listOf(3, 2, 2)) }
+            expectThat(sharesOf(routers(123, 123, 122, 122))).all { isEqualTo(listOf(2, 2, 2, 1)) }
+            expectThat(sharesOf(routers(12, 1, 1)).drop(1).take(11)).all { get { maxOf { it } }.isLessThanOrEqualTo(2) }
+        }
+
+        @Test
+        fun `gives neither of two zones a majority and chooses an odd number in one zone`() {
+            expectThat(sharesOf(routers(6, 6))).all { isEqualTo(listOf(3, 3)) }
+            expectThat(sharesOf(routers(12))).all { isEqualTo(listOf(7)) }
+            expectThat(sharesOf(routers(3))).all { isEqualTo(listOf(1)) }
+            expectThat(sharesOf(routers(1)).single()).isEmpty()
+        }
+
+        @Test
+        fun `guards against leaving routers as witnesses`() {
+            val routers = routers(4, 4, 4)
+            val leaving = routers.map { if (it.zone == ZoneName("z1")) it.copy(stage = RouterStage.LEAVING) else it }
+            val chosen = chooseWitnesses(routers[0].id, routers[0].zone, leaving)
+            expectThat(chosen.filter { it.value.startsWith("r1-") }).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class Hashing {
+        private val nodes = (1..10).map { TargetId("t$it") }
+
+        @Test
+        fun `guards against moves of keys that a loss does not touch`() {
+            val lost = nodes[3]
+            for (key in 0 until 2_000) {
+                val before = rendezvousChoice("$key", nodes)
+                if (before != lost) expectThat(rendezvousChoice("$key", nodes - lost)).isEqualTo(before)
+            }
+        }
+
+        @Test
+        fun `gives each node its share by weight`() {
+            val firsts = (0 until 4_000)
+                .groupingBy {
+                    rendezvousRank("$it", nodes) { node ->
+                        if (node ==
+                            nodes[0]
+                        ) {
+                            5.0
+                        } else {
+                            1.0
+                        }
+                    }.first()
+                }.eachCount()
+            expectThat(firsts.getValue(nodes[0])).isIn(1_300..1_560)
+            expectThat(firsts.filterKeys { it != nodes[0] }.values).hasSize(9).all { isIn(210..360) }
+        }
+
+        @Test
+        fun `ranks as it chooses`() {
+            expectThat(rendezvousChoice("k", nodes) { 2.0 }).isEqualTo(rendezvousRank("k", nodes) { 2.0 }.first())
+        }
+    }
+}
