--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
@@ -71,16 +71,10 @@
     return audit.isClean
 }
 
-private fun progressLine(second: LoadResult): String = "%3ds  sent %4d  answered %4d  not run %3d  unknown %3d  failed %3d  p50 %6.1f ms  p99 %7.1f ms"
-    .format(
-        second.second,
-        second.sent,
-        second.answered,
-        second.notRun,
-        second.unknown,
-        second.failed,
-        second.p50Ms,
-        second.p99Ms,
-    )
+private const val PROGRESS = "%3ds  sent %4d  answered %4d  not run %3d  unknown %3d  failed %3d  p50 %6.1f ms  p99 %7.1f ms"
+
+internal fun progressLine(second: LoadResult): String = with(second) {
+    PROGRESS.format(this.second, sent, answered, notRun, unknown, failed, p50Ms, p99Ms)
+}
 
 private fun say(text: String): Unit = println("-- $text")
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/NoteText.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/NoteText.kt
@@ -19,8 +19,7 @@
         )
         service.ranges().forEachIndexed { index, (from, to) ->
             val name = "%s-%02d".format(service.name, index + 1)
-            val bounds = listOfNotNull("from" to from, to?.let { "to" to it })
-            section("range $name", "action" to "add", "service" to service.name, *bounds.toTypedArray())
+            section("range $name", "action" to "add", "service" to service.name, "from" to from, "to" to to.orEmpty())
         }
     }
     targets.forEach { target ->
