--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
@@ -3,12 +3,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.contentOrNull
-import kotlinx.serialization.json.jsonPrimitive
 import yuccaflow.http.SocketAddress
 
 /** Choices for a run of a deployment. */
@@ -33,8 +28,9 @@
 internal class TargetsHandle(
     val zone: String,
     val names: List<String>,
-    val process: ManagedProcess,
     val control: SocketAddress,
+    val arguments: List<String>,
+    var process: ManagedProcess,
 )
 
 /** A router of the run and its present process. */
@@ -101,8 +97,8 @@
         val spec = group.file("targets-$index.json", BenchJson.encodeToString(plans.map { it.fileEntry(options.startCold) }))
         val seed = options.seed * SEED_STEP + index
         val arguments = listOf("targets", "--control", "$control", "--first", "$first", "--spec", spec.path, "--seed", "$seed")
-        val process = group.start("targets-$index", Program.STANDIN, arguments, standinJvm())
-        return TargetsHandle(plans.first().zone, plans.map { it.name }, process, control)
+        val process = group.start("targets-$index", Program.STANDIN, arguments, targetJvm())
+        return TargetsHandle(plans.first().zone, plans.map { it.name }, control, arguments, process)
     }
 
     private fun startRelay(): ManagedProcess {
@@ -118,6 +114,18 @@
         return group.start("relay", Program.STANDIN, listOf("relay", "--control", "$relay", "--spec", spec.path), standinJvm())
     }
 
+    /** Starts targets again after their process was lost. */
+    suspend fun restartTargets(handle: TargetsHandle) {
+        handle.process = group.start("targets-again", Program.STANDIN, handle.arguments, targetJvm())
+        handle.process.awaitReady()
+    }
+
+    // A process for each target makes many small JVMs.
+    private fun targetJvm() = when (options.targetProcesses) {
+        TargetProcesses.PER_ZONE -> standinJvm()
+        TargetProcesses.PER_TARGET -> JvmOptions(heapMb = SMALL_HEAP_MB, processors = 1)
+    }
+
     private fun standinJvm() = JvmOptions(optimize = options.measured)
 
     /** Starts a router, or starts it again after its end. */
@@ -200,29 +208,19 @@
         return listOfObjects(Web.get(router.plan.admin, "/owners"))
     }
 
-    private companion object {
-        const val SEED_STEP = 1_000
+    /** The primary router of each target, by id. */
+    suspend fun primaries(): Map<String, String> {
+        val router = routers.first { it.process.isAlive }
+        return listOfObjects(Web.get(router.plan.admin, "/targets"))
+            .mapNotNull { target -> target.name()?.let { name -> target["primary"].text()?.let { name to it } } }
+            .toMap()
     }
-}
-
-/** The objects of a JSON list, or of the only list in a JSON object. */
-internal fun listOfObjects(text: String): List<JsonObject> {
-    val element = BenchJson.parseToJsonElement(text)
-    val list = element as? JsonArray ?: (element as? JsonObject)?.values?.filterIsInstance<JsonArray>()?.singleOrNull()
-    return list.orEmpty().filterIsInstance<JsonObject>()
-}
 
-/** The text of a JSON value, or null for null and for anything else. */
-internal fun JsonElement?.text(): String? = (this as? kotlinx.serialization.json.JsonPrimitive)?.jsonPrimitive?.contentOrNull
+    /** Processor time that the routers have used. */
+    fun routerCpuMs(): Long = routers.sumOf { it.process.cpuMs }
 
-private const val AWAIT_LIMIT_MS = 40_000L
-private const val AWAIT_POLL_MS = 100L
-
-/** Polls [condition] until it holds; fails after [limitMs]. */
-internal suspend fun awaitUntil(what: String, limitMs: Long = AWAIT_LIMIT_MS, condition: suspend () -> Boolean) {
-    val deadline = System.nanoTime() + limitMs * NANOS_PER_MS
-    while (!condition()) {
-        check(System.nanoTime() < deadline) { "expected within $limitMs ms: $what" }
-        delay(AWAIT_POLL_MS)
+    private companion object {
+        const val SEED_STEP = 1_000
+        const val SMALL_HEAP_MB = 48
     }
 }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
@@ -6,8 +6,6 @@
 private const val KEYS = 100
 private const val STEADY_MS = 10_000L
 private const val DRILL_MS = 15_000L
-private const val SETTLE_MS = 4_000L
-private const val WARM_UP_MS = 6_000L
 
 /**
  * Takes the drill zone of [deployment] out and brings it back under load, with three routers in three zones as separate processes.
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Deployment.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Deployment.kt
@@ -36,8 +36,10 @@
     val slots: Int,
     val connections: Int,
     val services: List<ServicePlan>,
+    /** Of so many targets of a service, one does not check fences. */
+    val unfencedEvery: Int = 5,
 ) {
-    /** All targets, spread evenly over the zones. Every fifth one does not check fences. */
+    /** All targets, spread evenly over the zones. */
     val targets: List<TargetPlan> = services.flatMapIndexed { serviceIndex, service ->
         (0 until service.targets).map { index ->
             TargetPlan(
@@ -45,14 +47,12 @@
                 service = service,
                 zone = zones[(index + serviceIndex) % zones.size],
                 slots = slots,
-                checksFences = index % UNFENCED_EVERY != UNFENCED_EVERY - 1,
+                checksFences = index % unfencedEvery != unfencedEvery - 1,
             )
         }
     }
 
     companion object {
-        private const val UNFENCED_EVERY = 5
-
         val Harpes = Deployment(
             name = "harpes",
             region = "breizh",
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Drill.kt
@@ -0,0 +1,69 @@
+package yuccaflow.bench
+
+import kotlinx.coroutines.delay
+
+private const val RATE = 600.0
+private const val KEYS = 200
+private const val ROUTERS_PER_ZONE = 3
+private const val STEADY_MS = 10_000L
+private const val DRILL_MS = 20_000L
+
+/** The zone drill announced by marks; the baseline takes the same zone away without a mark and starts it again. */
+internal suspend fun measureDrill(settings: ExperimentSettings, report: Report): Boolean {
+    val planned = drill(settings, "marked") { cluster, out ->
+        val operators = Operators(cluster)
+        val zone = cluster.deployment.drillZone
+        if (out) operators.leaveZone(zone) else operators.returnZone(zone)
+    }
+    val unplanned = drill(settings, "killed") { cluster, out ->
+        val routers = cluster.routers.filter { it.plan.zone == cluster.deployment.drillZone }
+        val targets = cluster.targets.filter { it.zone == cluster.deployment.drillZone }
+        if (out) {
+            (routers.map { it.process } + targets.map { it.process }).forEach { it.signal("KILL") }
+        } else {
+            targets.forEach { cluster.restartTargets(it) }
+            routers.forEach { it.process = cluster.startRouter(it.plan) }
+        }
+    }
+    listOf(planned, unplanned).forEach { run ->
+        val worst = run.seconds.minOf { it.answeredShare }
+        report.case(run.name, *run.total.values(), "lowest_share" to worst, "worst_second_p99_ms" to run.seconds.maxOf { it.p99Ms })
+    }
+    report.case("audit of marked", "lost" to planned.audit.lost, "doubled" to planned.audit.doubled, "overlaps" to planned.audit.overlaps)
+    report.ratio("requests without an answer", planned.total.missing(), unplanned.total.missing())
+    report.ratio("p99", planned.total.p99Ms, unplanned.total.p99Ms)
+    report.verdict("marked drill: ${planned.audit}, expected nothing lost or doubled", planned.audit.isClean)
+    val runs = listOf(planned, unplanned).associateBy { it.name }
+    report.chart("answered share", "second", "share", runs.mapValues { run -> run.value.seconds.points { it.answeredShare } })
+    report.chart("p99 of answers", "second", "ms", runs.mapValues { run -> run.value.seconds.points { it.p99Ms } })
+    return report.finish()
+}
+
+private class DrillRun(
+    val name: String,
+    val total: LoadResult,
+    val seconds: List<LoadResult>,
+    val audit: Audit,
+)
+
+private suspend fun drill(settings: ExperimentSettings, name: String, move: suspend (Cluster, out: Boolean) -> Unit): DrillRun {
+    val options = ClusterOptions(ROUTERS_PER_ZONE, measured = true, seed = settings.seed)
+    return withCluster(settings.deployment, options) { cluster ->
+        val mix = settings.deployment.mix(KEYS, zipf = 0.0)
+        val load = CallerLoad.start(cluster.group, cluster.ports, LoadPlan(cluster.entries, mix, RATE, settings.seed, optimize = true))
+        delay(WARM_UP_MS)
+        load.reset()
+        val skipped = load.seconds.size
+        delay(STEADY_MS)
+        move(cluster, true)
+        delay(DRILL_MS)
+        move(cluster, false)
+        delay(DRILL_MS)
+        val seconds = load.seconds.drop(skipped)
+        load.rate(0.0)
+        delay(SETTLE_MS)
+        DrillRun(name, load.results().getValue("all"), seconds, cluster.audit(load))
+    }
+}
+
+private fun LoadResult.missing(): Double = (sent - answered).toDouble()
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Main.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Main.kt
@@ -13,7 +13,7 @@
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
     val parser = ArgParser("yuccaflow-bench")
-    parser.subcommands(DemoCommand(), NoteCommand())
+    parser.subcommands(DemoCommand(), BenchCommand(), NoteCommand())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
 
@@ -24,6 +24,23 @@
     override fun execute(): Unit = exitWith { runDemo(Deployment.named(deployment)) }
 }
 
+@OptIn(ExperimentalCli::class)
+private class BenchCommand : Subcommand("bench", "Runs an experiment: ${Experiments.keys.joinToString(", ")}") {
+    private val experiment by argument(ArgType.Choice(Experiments.keys.toList(), { it }), "experiment")
+    private val seed by option(ArgType.Int, description = "Seed of keys, times and service times").default(1)
+    private val deployment by option(ArgType.String, description = "harpes or planwerk").default("harpes")
+    private val repeats by option(ArgType.Int, description = "Repetitions of each loss").default(DEFAULT_REPEATS)
+    private val phase by option(ArgType.Int, "phase-ms", description = "Length of each phase of load").default(DEFAULT_PHASE_MS)
+
+    override fun execute(): Unit = exitWith {
+        val settings = ExperimentSettings(seed.toLong(), Deployment.named(deployment), repeats, phase.toLong())
+        Experiments.getValue(experiment).run(settings, Report(experiment, settings.seed))
+    }
+}
+
+private const val DEFAULT_REPEATS = 3
+private const val DEFAULT_PHASE_MS = 20_000
+
 @OptIn(ExperimentalCli::class)
 private class NoteCommand : Subcommand("note", "Prints the first release note of a deployment, as in examples/") {
     private val deployment by argument(ArgType.String, "deployment", "harpes or planwerk").optional().default("harpes")
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
@@ -24,6 +24,13 @@
     /** Exit status, or null while the process runs. */
     val exitStatus: Int? get() = if (process.isAlive) null else process.exitValue()
 
+    /** Processor time that the process has used. */
+    val cpuMs: Long get() = process
+        .info()
+        .totalCpuDuration()
+        .map { it.toMillis() }
+        .orElse(0)
+
     init {
         thread(isDaemon = true, name = "output-$name") {
             log.bufferedWriter().use { writer ->
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Overhead.kt
@@ -0,0 +1,72 @@
+package yuccaflow.bench
+
+import kotlinx.coroutines.delay
+
+private const val RATE = 1_000.0
+private const val KEYS = 1_000
+private const val ROUTERS_PER_ZONE = 3
+
+/**
+ * Compares requests through the routers with requests straight to the targets, in turn and at the same rate. Delays between zones are
+ * off, so that the difference is the time of the two hops themselves.
+ */
+internal suspend fun measureOverhead(settings: ExperimentSettings, report: Report): Boolean {
+    val service = settings.deployment.services.first { it.isDivided }
+    val deployment = settings.deployment.copy(services = listOf(service), unfencedEvery = 1)
+    val options = ClusterOptions(ROUTERS_PER_ZONE, measured = true, seed = settings.seed, delays = false)
+    withCluster(deployment, options) { cluster ->
+        val mix = deployment.mix(KEYS, zipf = 0.0)
+        val targets = deployment.targets.map { cluster.addressOf(it.name) }
+        val routers = cluster.routers.map { it.plan.caller }
+        val direct = phase(cluster, LoadPlan(targets, mix, RATE, settings.seed, prefix = "direct", optimize = true), settings)
+        val cpuBefore = cluster.routerCpuMs()
+        val routed = phase(cluster, LoadPlan(routers, mix, RATE, settings.seed, prefix = "routed", optimize = true), settings)
+        val cpuMs = cluster.routerCpuMs() - cpuBefore
+        val requests = routed.requests
+        report.case("direct", *direct.total.values())
+        report.case("routed", *routed.total.values(), "requests per cpu second" to requests * MS_PER_SECOND / maxOf(1L, cpuMs))
+        report.case(
+            "added by two hops",
+            "p50_ms" to routed.total.p50Ms - direct.total.p50Ms,
+            "p99_ms" to routed.total.p99Ms - direct.total.p99Ms,
+        )
+        report.ratio("p50", routed.total.p50Ms, direct.total.p50Ms)
+        report.ratio("p99", routed.total.p99Ms, direct.total.p99Ms)
+        val seconds = mapOf("direct" to direct.seconds, "routed" to routed.seconds)
+        report.chart("p99 of answers", "second", "ms", seconds.mapValues { line -> line.value.points { it.p99Ms } })
+    }
+    return report.finish()
+}
+
+private class Phase(
+    val total: LoadResult,
+    val seconds: List<LoadResult>,
+    /** Requests of the whole phase, its warm-up included, to match the processor time of the phase. */
+    val requests: Long,
+)
+
+private suspend fun phase(cluster: Cluster, plan: LoadPlan, settings: ExperimentSettings): Phase {
+    val load = CallerLoad.start(cluster.group, cluster.ports, plan)
+    val total = load.measured(WARM_UP_MS) { delay(settings.phaseMs) }.getValue("all")
+    val phase = Phase(total, load.seconds.toList(), load.seconds.sumOf { it.sent })
+    load.stop()
+    return phase
+}
+
+private const val MS_PER_SECOND = 1_000.0
+
+/** The usual columns of a load. */
+internal fun LoadResult.values(): Array<Pair<String, Number?>> = arrayOf(
+    "requests" to sent,
+    "answered" to answered,
+    "not_run" to notRun,
+    "unknown" to unknown,
+    "failed" to failed,
+    "p50_ms" to p50Ms,
+    "p99_ms" to p99Ms,
+    "p999_ms" to p999Ms,
+)
+
+/** Points of a timeline over the seconds of a load. */
+internal fun List<LoadResult>.points(value: (LoadResult) -> Double): List<Pair<Double, Double>> =
+    map { (it.second ?: 0).toDouble() to value(it) }
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Report.kt
@@ -0,0 +1,62 @@
+package yuccaflow.bench
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.jfree.chart.ChartFactory
+import org.jfree.chart.ChartUtils
+import org.jfree.data.xy.XYSeries
+import org.jfree.data.xy.XYSeriesCollection
+import java.io.File
+
+/** Results of one experiment: a JSON line for each case at once, a table and a chart at the end. */
+internal class Report(
+    private val experiment: String,
+    private val seed: Long,
+) {
+    private val cases = mutableListOf<Pair<String, Map<String, Number?>>>()
+    private val verdicts = mutableListOf<Boolean>()
+
+    /** Adds the measured values of one case. */
+    fun case(name: String, vararg values: Pair<String, Number?>) {
+        cases += name to values.toMap()
+        val fields = mapOf("experiment" to JsonPrimitive(experiment), "seed" to JsonPrimitive(seed), "case" to JsonPrimitive(name))
+        println(JsonObject(fields + values.associate { (key, value) -> key to JsonPrimitive(value) }))
+    }
+
+    /** Prints the ratio of two values. */
+    fun ratio(what: String, chosen: Double, baseline: Double) {
+        val ratio = if (baseline == 0.0) Double.NaN else chosen / baseline
+        println("ratio of $what, chosen to baseline: %.3f (%.2f to %.2f)".format(ratio, chosen, baseline))
+    }
+
+    /** Compares a value with its stated target. */
+    fun verdict(what: String, holds: Boolean) {
+        verdicts += holds
+        println("${if (holds) "OK" else "MISSED"}: $what")
+    }
+
+    /** Prints the table and returns true when every target was met. */
+    fun finish(): Boolean {
+        val columns = cases.flatMap { it.second.keys }.distinct()
+        val table = Table("case", *columns.toTypedArray())
+        cases.forEach { (name, values) -> table.row(name, *columns.map { values[it] }.toTypedArray()) }
+        println(table)
+        return verdicts.all { it }
+    }
+
+    /** Writes a chart of the [series], each a list of points, to `run/`. */
+    fun chart(title: String, xAxis: String, yAxis: String, series: Map<String, List<Pair<Double, Double>>>) {
+        val data = XYSeriesCollection()
+        series.forEach { (name, points) -> data.addSeries(XYSeries(name, false).apply { points.forEach { add(it.first, it.second) } }) }
+        val file = File(Program.root, "run/$experiment-$seed-${title.replace(Regex("\\W+"), "-")}.png")
+        file.parentFile.mkdirs()
+        System.setProperty("java.awt.headless", "true")
+        ChartUtils.saveChartAsPNG(file, ChartFactory.createXYLineChart(title, xAxis, yAxis, data), CHART_WIDTH, CHART_HEIGHT)
+        println("chart: run/${file.name}")
+    }
+
+    private companion object {
+        const val CHART_WIDTH = 1_000
+        const val CHART_HEIGHT = 500
+    }
+}
