--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/AdminPages.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/AdminPages.kt
@@ -44,3 +44,6 @@
     val status = Web.json(plan.admin, "/status") as? JsonObject
     return status?.get("router").text() ?: status?.get("router_id").text()
 }
+
+/** The owner of a range on `/owners`. */
+internal fun JsonObject.owner(): String? = this["owner"].text() ?: this["target"].text()
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
@@ -0,0 +1,60 @@
+package yuccaflow.bench
+
+import kotlinx.coroutines.delay
+import java.util.zip.CRC32
+
+private const val ROUTERS_PER_ZONE = 3
+private const val RATE = 300.0
+private const val KEYS = 1_000
+private const val SETTLE_OWNERS_MS = 25_000L
+private const val KEY_SPACE = 100_000
+private const val SAMPLE_STEP = 10
+
+/** Share of keys that change owner in a loss, a return and a zone drill, against a hash taken modulo the number of targets. */
+internal suspend fun measureChurn(settings: ExperimentSettings, report: Report): Boolean {
+    val service = settings.deployment.services.first { it.isDivided }
+    val deployment = settings.deployment.copy(services = listOf(service))
+    val options = ClusterOptions(ROUTERS_PER_ZONE, measured = true, TargetProcesses.PER_TARGET, seed = settings.seed)
+    withCluster(deployment, options) { cluster ->
+        val mix = deployment.mix(KEYS, zipf = 0.0)
+        CallerLoad.start(cluster.group, cluster.ports, LoadPlan(cluster.entries, mix, RATE, settings.seed, optimize = true))
+        delay(SETTLE_OWNERS_MS)
+        val all = deployment.targets.map { it.name }
+        val victim = cluster.targets.first()
+        val inZone = deployment.targets
+            .filter { it.zone == deployment.drillZone }
+            .map { it.name }
+            .toSet()
+        val operators = Operators(cluster)
+        report.churn(cluster, "target lost", all, all - victim.names.toSet()) { victim.process.kill() }
+        report.churn(cluster, "target returned", all - victim.names.toSet(), all) { cluster.restartTargets(victim) }
+        report.churn(cluster, "zone left", all, all - inZone) { operators.leaveZone(deployment.drillZone) }
+        report.churn(cluster, "zone returned", all - inZone, all) { operators.returnZone(deployment.drillZone) }
+    }
+    return report.finish()
+}
+
+private suspend fun Report.churn(cluster: Cluster, name: String, before: List<String>, after: List<String>, change: suspend () -> Unit) {
+    val old = ownersBySample(cluster)
+    change()
+    delay(SETTLE_OWNERS_MS)
+    val new = ownersBySample(cluster)
+    val moved = old.indices.count { old[it] != new[it] }.toDouble() / old.size
+    val rehashed = samples().count { before[hash(it) % before.size] != after[hash(it) % after.size] }.toDouble() / old.size
+    val lost = before - after.toSet()
+    val least = if (lost.isEmpty()) 0.0 else old.count { it in lost }.toDouble() / old.size
+    case(name, "share_moved" to moved, "least_possible" to least, "full_rehash" to rehashed)
+    ratio("keys moved, $name", moved, rehashed)
+}
+
+private fun samples(): List<String> = (0 until KEY_SPACE step SAMPLE_STEP).map { it.toString().padStart(5, '0') }
+
+private fun hash(key: String): Int = (CRC32().apply { update(key.encodeToByteArray()) }.value % Int.MAX_VALUE).toInt()
+
+private suspend fun ownersBySample(cluster: Cluster): List<String?> {
+    val service = cluster.deployment.services
+        .single()
+        .name
+    val ranges = cluster.owners().filter { it["service"].text() == service }
+    return samples().map { key -> ranges.firstOrNull { it.holds(service, key) }?.owner() }
+}
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
@@ -216,6 +216,12 @@
             .toMap()
     }
 
+    /** Offset that the next record of the control stream gets. */
+    suspend fun controlEnd(): Long {
+        val page = Web.json(log, "/streams/control?from=${Long.MAX_VALUE}&max=1&wait_ms=0") as JsonObject
+        return page["end"].text()?.toLong() ?: 0
+    }
+
     /** Processor time that the routers have used. */
     fun routerCpuMs(): Long = routers.sumOf { it.process.cpuMs }
 
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Experiments.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Experiments.kt
@@ -20,6 +20,11 @@
     "overhead" to Experiment(::measureOverhead),
     "unavailable" to Experiment(::measureUnavailable),
     "drill" to Experiment(::measureDrill),
+    "stragglers" to Experiment(::measureStragglers),
+    "coldstart" to Experiment(::measureColdStart),
+    "imbalance" to Experiment(::measureImbalance),
+    "churn" to Experiment(::measureChurn),
+    "slopes" to Experiment(::measureSlopes),
 )
 
 /** Runs [block] against a started cluster whose first note is in force. */
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
@@ -31,6 +31,22 @@
         .map { it.toMillis() }
         .orElse(0)
 
+    /** Bytes that the process has read and written, through sockets above all, since it writes no files. */
+    fun ioBytes(): Long = procValues("io").filterKeys { it == "rchar" || it == "wchar" }.values.sum()
+
+    /** Memory that the process occupies. */
+    fun residentBytes(): Long = (procValues("status")["VmRSS"] ?: 0) * BYTES_PER_KB
+
+    private fun procValues(page: String): Map<String, Long> = File("/proc/$pid/$page").readLines().associate { line ->
+        line.substringBefore(':') to (
+            line
+                .substringAfter(':')
+                .trim()
+                .substringBefore(' ')
+                .toLongOrNull() ?: 0
+        )
+    }
+
     init {
         thread(isDaemon = true, name = "output-$name") {
             log.bufferedWriter().use { writer ->
@@ -81,6 +97,7 @@
     private companion object {
         const val READY_LIMIT_MS = 30_000L
         const val POLL_MS = 20L
+        const val BYTES_PER_KB = 1_024L
         const val TAIL_LINES = 20
     }
 }
--- /dev/null
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Slopes.kt
@@ -0,0 +1,86 @@
+package yuccaflow.bench
+
+import kotlinx.coroutines.delay
+import org.apache.commons.math3.stat.regression.SimpleRegression
+
+private const val RATE = 300.0
+private const val KEYS = 1_000
+private const val BYTES_PER_KB = 1_024.0
+private const val MS_PER_SECOND = 1_000.0
+private const val PERCENT = 100.0
+
+private class Point(
+    val dimension: String,
+    val size: Int,
+    val deployment: Deployment,
+    val routersPerZone: Int,
+    val rate: Double,
+)
+
+/** Cost of one router with the number of routers, ranges, targets and requests varied one at a time. */
+internal suspend fun measureSlopes(settings: ExperimentSettings, report: Report): Boolean {
+    val base = settings.deployment
+    val points = listOf(1, 2, 3).map { Point("routers", it * base.zones.size, base, it, RATE) } +
+        listOf(20, 40, 80).map { Point("ranges", it, base.withDivided { service -> service.copy(ranges = it) }, 1, RATE) } +
+        listOf(1, 2, 3).map { factor ->
+            val larger = base.copy(services = base.services.map { it.copy(targets = it.targets * factor) })
+            Point("targets", larger.targets.size, larger, 1, RATE)
+        } +
+        listOf(200, 400, 800).map { Point("requests/s", it, base, 1, it.toDouble()) }
+    val costs = points.groupBy({ it.dimension }) { it.size to cost(it, settings, report) }
+    costs.forEach { (dimension, measured) ->
+        listOf<Pair<String, (RouterCost) -> Double>>(
+            "cpu_percent" to { it.cpuPercent },
+            "memory_mb" to { it.memoryMb },
+            "kb_per_s" to { it.kbPerSecond },
+            "records_per_s" to { it.recordsPerSecond },
+        ).forEach { (name, value) ->
+            val line = SimpleRegression().apply { measured.forEach { addData(it.first.toDouble(), value(it.second)) } }
+            println("slope of $name over $dimension: %.5f, at zero %.3f, R2 %.2f".format(line.slope, line.intercept, line.rSquare))
+        }
+        val series = mapOf("cpu percent" to measured.map { it.first.toDouble() to it.second.cpuPercent })
+        report.chart("processor time over $dimension", dimension, "percent of a core", series)
+    }
+    return report.finish()
+}
+
+private class RouterCost(
+    val cpuPercent: Double,
+    val memoryMb: Double,
+    val kbPerSecond: Double,
+    val recordsPerSecond: Double,
+)
+
+private suspend fun cost(point: Point, settings: ExperimentSettings, report: Report): RouterCost {
+    val options = ClusterOptions(point.routersPerZone, measured = true, seed = settings.seed, delays = false)
+    return withCluster(point.deployment, options) { cluster ->
+        val mix = point.deployment.mix(KEYS, zipf = 0.0)
+        val plan = LoadPlan(cluster.routers.map { it.plan.caller }, mix, point.rate, settings.seed, optimize = true)
+        CallerLoad.start(cluster.group, cluster.ports, plan)
+        delay(WARM_UP_MS)
+        val processes = cluster.routers.map { it.process }
+        val cpu = processes.sumOf { it.cpuMs }
+        val bytes = processes.sumOf { it.ioBytes() }
+        val records = cluster.controlEnd()
+        delay(settings.phaseMs)
+        val seconds = settings.phaseMs / MS_PER_SECOND
+        val count = processes.size
+        val cost = RouterCost(
+            cpuPercent = (processes.sumOf { it.cpuMs } - cpu) / settings.phaseMs.toDouble() / count * PERCENT,
+            memoryMb = processes.sumOf { it.residentBytes() } / BYTES_PER_KB / BYTES_PER_KB / count,
+            kbPerSecond = (processes.sumOf { it.ioBytes() } - bytes) / BYTES_PER_KB / seconds / count,
+            recordsPerSecond = (cluster.controlEnd() - records) / seconds,
+        )
+        report.case(
+            "${point.dimension} ${point.size}",
+            "cpu_percent" to cost.cpuPercent,
+            "memory_mb" to cost.memoryMb,
+            "kb_per_s" to cost.kbPerSecond,
+            "records_per_s" to cost.recordsPerSecond,
+        )
+        cost
+    }
+}
+
+private fun Deployment.withDivided(change: (ServicePlan) -> ServicePlan): Deployment =
+    copy(services = services.map { if (it.isDivided) change(it) else it })
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
@@ -53,7 +53,7 @@
 }
 
 private suspend fun observe(cluster: Cluster, load: CallerLoad, loss: Loss): LossResult {
-    val touchedRanges = cluster.owners().filter { it["owner"].text() in loss.touched || it["target"].text() in loss.touched }
+    val touchedRanges = cluster.owners().filter { it.owner() in loss.touched }
     load.reset()
     loss.lose()
     delay(OBSERVE_MS)
