--- a/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/CallerResults.kt
+++ b/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/CallerResults.kt
@@ -75,6 +75,7 @@
     private var services = HashMap<String, Tally>()
     private val ids = Outcome.entries.associateWith { BitSet() }
     private val unservedSinceUs = HashMap<String, Long>()
+    private var lastEndedUs = 0L
     private val outages = HashMap<String, Outage>()
     private val reasons = HashMap<String, Long>()
 
@@ -85,6 +86,7 @@
             if (outcome == Outcome.ANSWERED) it.latency.recordValue((endedUs - intendedUs).coerceIn(1, HIGHEST_LATENCY_US))
         }
         if (request.method == "POST") ids.getValue(outcome).set(number)
+        lastEndedUs = maxOf(lastEndedUs, endedUs)
         noteService(request.key, outcome, intendedUs, endedUs)
     }
 
@@ -102,8 +104,7 @@
         unservedSinceUs.remove(key)
         val gapMs = (endedUs - since) / MICROS_PER_MS.toLong()
         if (gapMs <= SLOW_ANSWER_MS && since == intendedUs) return
-        val old = outages[key] ?: Outage(0, 0, 0)
-        outages[key] = Outage(maxOf(old.longestMs, gapMs), old.totalMs + gapMs, old.count + 1)
+        outages[key] = extended(key, gapMs)
     }
 
     /** The results since the last call. */
@@ -113,8 +114,17 @@
     @Synchronized
     fun totals(): Map<String, ResultBody> = mapOf("all" to total.body()) + services.mapValues { it.value.body() }
 
+    /** Outages by key; one that has not ended yet counts up to the last result of any key. */
     @Synchronized
-    fun outages(): Map<String, Outage> = outages.toMap()
+    fun outages(): Map<String, Outage> {
+        val open = unservedSinceUs.mapValues { (key, since) -> extended(key, (lastEndedUs - since) / MICROS_PER_MS.toLong()) }
+        return outages + open
+    }
+
+    private fun extended(key: String, gapMs: Long): Outage {
+        val old = outages[key] ?: Outage(0, 0, 0)
+        return Outage(maxOf(old.longestMs, gapMs), old.totalMs + gapMs, old.count + 1)
+    }
 
     /** Counts of refusals and failures by reason. */
     @Synchronized
--- a/yuccaflow-standins/src/test/kotlin/yuccaflow/standins/CallerResultsTest.kt
+++ b/yuccaflow-standins/src/test/kotlin/yuccaflow/standins/CallerResultsTest.kt
@@ -31,6 +31,14 @@
         expectThat(results.outages().getValue("s/1").longestMs).isEqualTo(1_005)
     }
 
+    /** Guards against keys that never come back and are then missing from the report. */
+    @Test
+    fun `unavailable time that has not ended counts up to the last result`() {
+        results.record(request, 1, Outcome.NOT_RUN, 1_000_000, 1_001_000)
+        results.record(request.copy(key = "s/2"), 2, Outcome.ANSWERED, 4_000_000, 4_005_000)
+        expectThat(results.outages().getValue("s/1").longestMs).isEqualTo(3_005)
+    }
+
     /** Guards against outages counted for keys that are served in time. */
     @Test
     fun `an answer in time is no outage`() {
