--- /dev/null
+++ b/yuccaflow-standins/src/test/kotlin/yuccaflow/standins/RelayStandinTest.kt
@@ -0,0 +1,54 @@
+package yuccaflow.standins
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isGreaterThanOrEqualTo
+import yuccaflow.http.HttpClientSettings
+import yuccaflow.http.HttpHandler
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.HttpResult
+import yuccaflow.http.SocketAddress
+import yuccaflow.http.httpClient
+import yuccaflow.http.httpServer
+import java.net.InetAddress
+import java.net.ServerSocket
+
+class RelayStandinTest {
+    private val client = httpClient(HttpClientSettings())
+    private val entry = SocketAddress(LOOPBACK, freePort())
+
+    /** Guards against a relay that forwards without its delay, or that lets bytes through while cut or silent. */
+    @Test
+    fun `delays, cuts and silences its route`(): Unit = runBlocking {
+        val server = httpServer(SocketAddress(LOOPBACK, 0), StandinLimits, HttpHandler { HttpResponse(OK) })
+        val relay = RelayStandin(listOf(RouteSpec("r", "$entry", "${server.address}", DELAY_MS * 1_000)))
+        relay.start()
+        val started = System.nanoTime()
+        expectThat(send()).isA<HttpResult.Answered>()
+        expectThat((System.nanoTime() - started) / NANOS_PER_MS).isGreaterThanOrEqualTo(2 * DELAY_MS)
+        switch(relay, """{"cut":true}""")
+        expectThat(send()).isA<HttpResult.Unknown>()
+        switch(relay, """{"cut":false,"silent":true}""")
+        expectThat(send()).isA<HttpResult.Unknown>()
+        switch(relay, """{"silent":false}""")
+        expectThat(send()).isA<HttpResult.Answered>()
+        relay.close()
+        server.close(0)
+    }
+
+    private suspend fun send() = client.send(entry, HttpRequest("GET", "/"), TIMEOUT_MS)
+
+    private suspend fun switch(relay: RelayStandin, json: String) =
+        relay.handle(HttpRequest("POST", "/switches", body = json.encodeToByteArray()))
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val DELAY_MS = 20L
+        const val TIMEOUT_MS = 300L
+
+        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
+    }
+}
