--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
@@ -6,8 +6,6 @@
 private const val KEYS = 100
 private const val STEADY_MS = 10_000L
 private const val DRILL_MS = 15_000L
-private const val SETTLE_MS = 4_000L
-private const val WARM_UP_MS = 6_000L
 
 /**
  * Takes the drill zone of [deployment] out and brings it back under load, with three routers in three zones as separate processes.
@@ -71,16 +69,10 @@
     return audit.isClean
 }
 
-private fun progressLine(second: LoadResult): String = "%3ds  sent %4d  answered %4d  not run %3d  unknown %3d  failed %3d  p50 %6.1f ms  p99 %7.1f ms"
-    .format(
-        second.second,
-        second.sent,
-        second.answered,
-        second.notRun,
-        second.unknown,
-        second.failed,
-        second.p50Ms,
-        second.p99Ms,
-    )
+private const val PROGRESS = "%3ds  sent %4d  answered %4d  not run %3d  unknown %3d  failed %3d  p50 %6.1f ms  p99 %7.1f ms"
+
+internal fun progressLine(second: LoadResult): String = with(second) {
+    PROGRESS.format(this.second, sent, answered, notRun, unknown, failed, p50Ms, p99Ms)
+}
 
 private fun say(text: String): Unit = println("-- $text")
