Add membership and ownership of the router

Membership follows both streams, reads and appends through peers, registers, confirms its lease by witnesses or the log, suspects, ends leases, replaces witnesses and appends checkpoints. Ownership grants, moves, plans and hands over.

A change of witnesses that was certainly not appended no longer leaves the router on log confirmation alone.

--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterLease.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterLease.kt
@@ -77,6 +77,12 @@
         replacedEpoch = table.routers[self]?.epoch
     }
 
+    /** The change was certainly not appended, so that the recorded witnesses still count. */
+    fun witnessesKept() {
+        replacedEpoch = null
+        refresh()
+    }
+
     /** This router ends its own lease; to be called before it appends [ControlRecord.RouterStopped]. */
     fun giveUp() {
         hasEnded = true
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
@@ -17,6 +17,7 @@
     private class Watch(
         var heardAtMs: Long,
         var suspectAfterMs: Long,
+        var epoch: Long,
         var suspicionOffset: Long? = null,
         var readyAtMs: Long? = null,
     )
@@ -38,7 +39,12 @@
         watches.keys.retainAll { table.isLive(it) }
         for (entry in table.routers.values) {
             if (entry.stage == RouterStage.ENDED) continue
-            val watch = watches.getOrPut(entry.id) { Watch(nowMs, timing.suspectAfterMs) }
+            val watch = watches.getOrPut(entry.id) { Watch(nowMs, timing.suspectAfterMs, entry.epoch) }
+            if (watch.epoch != entry.epoch) {
+                // Whoever has just been named as a witness cannot have heard a heartbeat yet.
+                watch.epoch = entry.epoch
+                watch.heardAtMs = nowMs
+            }
             val offset = entry.suspicion?.offset
             if (watch.suspicionOffset != null && offset != watch.suspicionOffset) cancelled(watch, nowMs)
             watch.suspicionOffset = offset
@@ -72,16 +78,18 @@
                     .Suspected(
                         entry.id,
                         self,
-                    ).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, entry.id) }
+                    ).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, table, entry) }
             self in entry.witnesses && self !in suspicion.readBy -> ControlRecord.SuspicionRead(entry.id, suspicion.offset, self)
             else -> ControlRecord.LeaseEnded(entry.id, suspicion.offset).takeIf { mayEnd(nowMs, table, entry, suspicion) }
         }
     }
 
-    private fun isSilent(nowMs: Long, router: RouterId): Boolean {
-        val watch = watches[router] ?: return false
-        val spreadMs = (unitHash(self.value, router.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs).toLong()
-        return nowMs - watch.heardAtMs >= watch.suspectAfterMs + spreadMs
+    private fun isSilent(nowMs: Long, table: ControlTable, entry: RouterEntry): Boolean {
+        val watch = watches[entry.id] ?: return false
+        val spreadMs = (unitHash(self.value, entry.id.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs).toLong()
+        // A router without a live witness sends no heartbeats; if it lives, it names new witnesses within this time.
+        val silenceMs = if (entry.witnesses.none { table.isLive(it) }) MAX_SUSPECT_AFTER_MS else watch.suspectAfterMs
+        return nowMs - watch.heardAtMs >= silenceMs + spreadMs
     }
 
     private fun mayEnd(nowMs: Long, table: ControlTable, entry: RouterEntry, suspicion: Suspicion): Boolean {
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/LogMessages.kt
@@ -0,0 +1,46 @@
+package yuccaflow.router.membership
+
+import yuccaflow.platform.AppendResult
+import yuccaflow.platform.LogRecord
+import yuccaflow.platform.ReadResult
+import yuccaflow.router.peer.LogLine
+import yuccaflow.router.peer.PeerMessage
+
+/** Largest sum of record sizes in one answer to a peer, well below the frame limit. */
+private const val ANSWER_LIMIT_BYTES = 1_000_000
+
+/** The result of a read as a message to a peer. It always holds at least one record when there is one. */
+internal fun ReadResult.toAnswer(fromMemory: Boolean): PeerMessage.ReadLogAnswer = when (this) {
+    is ReadResult.Read -> {
+        val lines = withinLimit(records).map { LogLine(it.offset, it.data) }
+        PeerMessage.ReadLogAnswer(lines, firstOffset, endOffset, expired = false, failure = null, fromMemory = fromMemory)
+    }
+    is ReadResult.Expired -> PeerMessage.ReadLogAnswer(emptyList(), firstOffset, 0, expired = true, failure = null)
+    is ReadResult.ReadFailed -> PeerMessage.ReadLogAnswer(emptyList(), 0, 0, expired = false, failure = reason)
+}
+
+/** The result of a read through a peer. */
+internal fun PeerMessage.ReadLogAnswer.toReadResult(): ReadResult {
+    val reason = failure
+    return when {
+        reason != null -> ReadResult.ReadFailed(reason)
+        expired -> ReadResult.Expired(firstOffset)
+        else -> ReadResult.Read(records.map { LogRecord(it.offset, it.data) }, firstOffset, endOffset)
+    }
+}
+
+/** The result of an append as a message to a peer. */
+internal fun AppendResult.toAnswer(): PeerMessage.AppendLogAnswer = when (this) {
+    is AppendResult.Appended -> PeerMessage.AppendLogAnswer(offset, unknown = false, reason = "")
+    is AppendResult.NotAppended -> PeerMessage.AppendLogAnswer(null, unknown = false, reason = reason)
+    is AppendResult.AppendUnknown -> PeerMessage.AppendLogAnswer(null, unknown = true, reason = reason)
+}
+
+private fun withinLimit(records: List<LogRecord>): List<LogRecord> {
+    var sum = 0
+    return records.takeWhile { record ->
+        val first = sum == 0
+        sum += record.data.size
+        first || sum <= ANSWER_LIMIT_BYTES
+    }
+}
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/Replica.kt
@@ -0,0 +1,108 @@
+package yuccaflow.router.membership
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import org.tinylog.Logger
+import yuccaflow.control.ConfigState
+import yuccaflow.control.ControlRecord
+import yuccaflow.control.ControlTable
+import yuccaflow.control.RouterId
+import yuccaflow.control.RouterStage
+import yuccaflow.control.Snapshot
+import yuccaflow.control.applyConfigRecord
+import yuccaflow.control.controlTable
+import yuccaflow.control.decodeConfigRecord
+import yuccaflow.control.decodeControlRecord
+import yuccaflow.control.emptyControlTable
+import yuccaflow.platform.LogRecord
+import yuccaflow.platform.TimerService
+import yuccaflow.router.RouterState
+import java.util.concurrent.ConcurrentHashMap
+
+/** This router's copy of both streams' state. Records may come from several readers at once; each is applied once and in order. */
+internal class Replica(
+    private val timer: TimerService,
+    private val onTable: (ControlTable) -> Unit,
+) {
+    private val lock = Any()
+    private val current = MutableStateFlow(RouterState(emptyControlTable(), ConfigState.Empty))
+    private val ended = ConcurrentHashMap<RouterId, Long>()
+    private val recent = ArrayDeque<LogRecord>()
+
+    /** The state after the records applied so far. */
+    val state: StateFlow<RouterState> get() = current
+
+    /** Local time at which the last checkpoint was read, or null. */
+    @Volatile
+    var checkpointReadAtMs: Long? = null
+        private set
+
+    /** Local time at which this router read that [router]'s lease has ended. */
+    fun endedAtMs(router: RouterId): Long? = ended[router]
+
+    /** Applies those [records] of `control` that follow the present position without a gap. */
+    fun applyControl(records: List<LogRecord>) = synchronized(lock) {
+        var table = current.value.table
+        for (record in records) {
+            if (record.offset <= table.position) continue
+            if (record.offset != table.position + 1) break
+            val decoded = decodeControlRecord(record.data)
+            val applied = table.apply(record.offset, decoded)
+            applied.voidReason?.let { Logger.debug("control record {} is void: {}", record.offset, it) }
+            table = applied.table
+            if (decoded is ControlRecord.Checkpoint) checkpointReadAtMs = timer.nowMs()
+            remember(record)
+        }
+        tableRead(table)
+        current.value = current.value.copy(table = table)
+    }
+
+    /** Applies those [records] of `config` that follow the present position without a gap. */
+    fun applyConfig(records: List<LogRecord>) = synchronized(lock) {
+        var config = current.value.config
+        for (record in records) {
+            if (record.offset <= config.position) continue
+            if (record.offset != config.position + 1) break
+            config = applyConfigRecord(config, record.offset, decodeConfigRecord(record.data))
+        }
+        current.value = current.value.copy(config = config)
+    }
+
+    /** Replaces the whole state, unless [snapshot] is older than the present one. */
+    fun load(snapshot: Snapshot) = synchronized(lock) {
+        val before = current.value
+        val table = if (snapshot.tablePosition > before.table.position) controlTable(snapshot) else before.table
+        val config = if (snapshot.configPosition > before.config.position) snapshot.config else before.config
+        if (table !== before.table) recent.clear()
+        tableRead(table)
+        current.value = RouterState(table, config)
+    }
+
+    /** The records from [fromOffset] on that are still in memory, or null when [fromOffset] is too old or not read yet. */
+    fun recentControl(fromOffset: Long, maxRecords: Int): List<LogRecord>? = synchronized(lock) {
+        val first = recent.firstOrNull()?.offset ?: return null
+        if (fromOffset < first || fromOffset > recent.last().offset) return null
+        recent.drop((fromOffset - first).toInt()).take(maxRecords)
+    }
+
+    private fun remember(record: LogRecord) {
+        recent.addLast(record)
+        if (recent.size > RECENT_RECORDS) recent.removeFirst()
+    }
+
+    /** The lease learns of a table before anyone acts on it. */
+    private fun tableRead(table: ControlTable) {
+        onTable(table)
+        val nowMs = timer.nowMs()
+        val routers = table.routers.values
+            .filter { it.stage == RouterStage.ENDED }
+            .map { it.id }
+        routers.forEach { ended.putIfAbsent(it, nowMs) }
+        ended.keys.retainAll(routers.toSet())
+    }
+
+    private companion object {
+        /** Records that peers may still ask for when the log is down: several seconds of the largest append rate. */
+        const val RECENT_RECORDS = 2_048
+    }
+}
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
@@ -0,0 +1,73 @@
+package yuccaflow.router.ownership
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaflow.control.ControlRecord
+import yuccaflow.control.PlacementInput
+import yuccaflow.control.PlacementPolicy
+import yuccaflow.control.RouterStage
+import yuccaflow.platform.AppendResult
+
+/**
+ * Appends what the placement policy decides. A record whose append was lost is not repeated here: the policy decides again from the
+ * table, and a second copy of the record is void.
+ */
+internal class PlannerLoop(
+    private val parts: OwnershipParts,
+    private val policy: PlacementPolicy,
+    private val input: () -> PlacementInput,
+) {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+
+    /** Makes the loop decide again at once. */
+    fun wake() {
+        wake.trySend(Unit)
+    }
+
+    /** Runs until cancelled. */
+    suspend fun run(): Unit = coroutineScope {
+        launch { parts.timer.every(DECISION_PERIOD_MS).collect { wake() } }
+        launch { parts.membership.state().collect { wake() } }
+        while (true) {
+            wake.receive()
+            if (mayPlan()) append(policy.decide(input()))
+        }
+    }
+
+    private fun mayPlan(): Boolean {
+        val self = parts.table.routers[parts.membership.routerId]
+        return self?.stage == RouterStage.LIVE && parts.membership.leaseValidUntilMs() > parts.timer.nowMs()
+    }
+
+    private suspend fun append(records: List<ControlRecord>) {
+        for (chunk in records.take(RECORDS_PER_DECISION).chunked(CONCURRENT_APPENDS)) {
+            val results = coroutineScope { chunk.map { async { parts.membership.append(it) } }.awaitAll() }
+            val last = results.filterIsInstance<AppendResult.Appended>().maxOfOrNull { it.offset }
+            if (last == null) {
+                parts.timer.sleep(FAILED_PAUSE_MS)
+                return
+            }
+            awaitRead(last)
+        }
+    }
+
+    /** Deciding again before these records were read would only repeat them. */
+    private suspend fun awaitRead(offset: Long) {
+        withTimeoutOrNull(READ_TIMEOUT_MS) { parts.membership.state().first { it.table.position >= offset } }
+    }
+
+    private companion object {
+        const val DECISION_PERIOD_MS = 250L
+        const val READ_TIMEOUT_MS = 1_000L
+        const val FAILED_PAUSE_MS = 200L
+
+        /** Keeps one decision within the several hundred appends a second that the log service accepts. */
+        const val RECORDS_PER_DECISION = 128
+        const val CONCURRENT_APPENDS = 16
+    }
+}
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
@@ -0,0 +1,57 @@
+package yuccaflow.router.ownership
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.Logger
+import yuccaflow.control.ControlRecord
+import yuccaflow.control.RouterId
+import yuccaflow.control.RouterStage
+import yuccaflow.control.rendezvousRank
+import yuccaflow.platform.AppendResult
+
+/** Hands targets to other live routers during a planned stop. */
+internal class TargetHandover(
+    private val parts: OwnershipParts,
+) {
+    /** Hands over all of [keepers], each as soon as none of its requests can still run. */
+    suspend fun handOver(keepers: Collection<TargetKeeper>): Unit = coroutineScope {
+        keepers.map { async { handOver(it) } }.awaitAll()
+    }
+
+    private suspend fun handOver(keeper: TargetKeeper) {
+        if (successor(keeper) == null) return
+        keeper.isHandingOver = true
+        parts.running().awaitNoneRunning(keeper.target)
+        while (isPrimary(keeper)) {
+            val next = successor(keeper) ?: break
+            val self = parts.membership.routerId
+            val result = parts.membership.append(ControlRecord.PrimaryAssigned(keeper.target, next, keeper.primaryEpoch, self))
+            if (result is AppendResult.Appended) {
+                withTimeoutOrNull(READ_TIMEOUT_MS) { parts.membership.state().first { it.table.position >= result.offset } }
+            }
+            if (isPrimary(keeper)) parts.timer.sleep(REPEAT_PAUSE_MS)
+        }
+        Logger.info("target {} handed over to {}", keeper.target, parts.table.primaries[keeper.target]?.router)
+    }
+
+    private fun isPrimary(keeper: TargetKeeper): Boolean {
+        val entry = parts.table.primaries[keeper.target] ?: return false
+        return entry.router == parts.membership.routerId && entry.epoch == keeper.primaryEpoch
+    }
+
+    /** The router that ranks first for the target among the live ones of its zone, or of any zone when that zone has none. */
+    private fun successor(keeper: TargetKeeper): RouterId? {
+        val others = parts.table.routers.values
+            .filter { it.stage == RouterStage.LIVE && it.id != parts.membership.routerId }
+        val near = others.filter { it.zone == keeper.duty.spec.zone }.ifEmpty { others }
+        return rendezvousRank(keeper.target.value, near.map { it.id }).firstOrNull()
+    }
+
+    private companion object {
+        const val READ_TIMEOUT_MS = 1_000L
+        const val REPEAT_PAUSE_MS = 100L
+    }
+}
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetKeeper.kt
@@ -0,0 +1,167 @@
+package yuccaflow.router.ownership
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.tinylog.Logger
+import yuccaflow.control.RangeEntry
+import yuccaflow.control.TargetId
+import yuccaflow.control.TargetSpec
+import yuccaflow.http.SocketAddress
+import yuccaflow.platform.GrantOrder
+import yuccaflow.platform.GrantedRange
+import yuccaflow.platform.OrderResult
+import yuccaflow.platform.TargetClock
+import kotlin.math.max
+
+/** A grant that the target instance [instance] has confirmed. [validUntilMs] is local monotonic time. */
+internal data class ConfirmedGrant(
+    val instance: String,
+    val epochs: Set<Long>,
+    val validUntilMs: Long,
+)
+
+/** What a keeper has to keep granted. */
+internal data class KeeperDuty(
+    val spec: TargetSpec,
+    val ranges: List<RangeEntry>,
+    /** Local time at which this router learned that the target is leaving or withdrawn, or null. */
+    val leavingSinceMs: Long?,
+)
+
+/**
+ * Keeps one target granted while this router is its primary under [primaryEpoch].
+ *
+ * No grant outlives the lease confirmation behind it. A target that has not answered gets probes only, so that an order that is
+ * carried out late cannot extend what the mover waits for.
+ */
+internal class TargetKeeper(
+    val target: TargetId,
+    val primaryEpoch: Long,
+    val becamePrimaryAtMs: Long,
+    duty: KeeperDuty,
+    private val parts: OwnershipParts,
+) {
+    val contact = TargetContact()
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val orderLock = Mutex()
+    private val withdrawn = mutableSetOf<GrantedRange>()
+    private var sentExpiryMs = Long.MIN_VALUE
+    private var unansweredExpiryMs = Long.MIN_VALUE
+
+    @Volatile
+    var duty: KeeperDuty = duty
+        private set
+
+    /** The latest confirmed grant; null after a refusal or a restart of the target. */
+    @Volatile
+    var grant: ConfirmedGrant? = null
+        private set
+
+    /** Set while the target is handed over to another router; nothing may be sent then. */
+    @Volatile
+    var isHandingOver: Boolean = false
+
+    /** Gives the keeper its current duty and renews the grant at once when it changed. */
+    fun update(next: KeeperDuty) {
+        if (next == duty) return
+        duty = next
+        wake.trySend(Unit)
+    }
+
+    /** Takes in an answer of the target to anything that this router sent. */
+    fun answered(clock: TargetClock) {
+        if (!contact.answered(clock)) return
+        Logger.info("target {} restarted as instance {}", target, clock.instance)
+        grant = null
+        parts.running().restartRamp(target)
+        wake.trySend(Unit)
+    }
+
+    /** Takes in a failure of the request path. */
+    fun failed(reason: String) {
+        if (!contact.isFailing) Logger.warn("target {} failed: {}", target, reason)
+        contact.failed(parts.timer.nowMs())
+        wake.trySend(Unit)
+    }
+
+    /** Runs until cancelled. */
+    suspend fun run(): Unit = coroutineScope {
+        parts.running().restartRamp(target)
+        launch { parts.timer.every(parts.settings.timing.grantRenewMs).collect { wake.trySend(Unit) } }
+        while (true) {
+            renew()
+            if (contact.isFailing || contact.clock == null) parts.timer.sleep(PROBE_PAUSE_MS) else wake.receive()
+        }
+    }
+
+    /**
+     * Withdraws [entry] from the target, and returns when the target can hold no grant of it any more: it confirmed the revocation and
+     * every grant order before it was answered, or all grants have expired.
+     */
+    suspend fun withdraw(entry: RangeEntry) {
+        val revoked = orderLock.withLock {
+            withdrawn += entry.granted()
+            revoke(entry)
+        }
+        val lapseMs = if (revoked) unansweredExpiryMs else max(sentExpiryMs, becamePrimaryAtMs + parts.settings.timing.leaseMs)
+        if (lapseMs != Long.MIN_VALUE) parts.timer.sleepUntil(lapseMs + parts.settings.timing.driftMarginMs)
+    }
+
+    private suspend fun revoke(entry: RangeEntry): Boolean {
+        val address = SocketAddress.parseOrNull(duty.spec.address) ?: return false
+        val result = parts.orders.revoke(address, listOf(entry.granted()), ORDER_TIMEOUT_MS)
+        takeIn(result)
+        return result is OrderResult.Done
+    }
+
+    private suspend fun renew() = orderLock.withLock {
+        val address = SocketAddress.parseOrNull(duty.spec.address) ?: return@withLock
+        val clock = contact.clock
+        val leaseUntilMs = parts.membership.leaseValidUntilMs()
+        if (clock == null || contact.isFailing) {
+            takeIn(parts.health.probe(address, ORDER_TIMEOUT_MS))
+            wake.trySend(Unit)
+        } else if (leaseUntilMs > parts.timer.nowMs() && !isHandingOver) {
+            sendGrant(address, clock, leaseUntilMs)
+        }
+    }
+
+    private suspend fun sendGrant(address: SocketAddress, clock: TargetClock, leaseUntilMs: Long) {
+        val ranges = duty.ranges.map { it.granted() }.filterNot { it in withdrawn }
+        withdrawn.retainAll(duty.ranges.mapTo(mutableSetOf()) { it.granted() })
+        sentExpiryMs = max(sentExpiryMs, leaseUntilMs)
+        val order = GrantOrder(ranges, primaryEpoch, clock.atLocal(leaseUntilMs), clock.instance)
+        val result = parts.orders.grant(address, order, ORDER_TIMEOUT_MS)
+        when (result) {
+            is OrderResult.Done -> {
+                val epochs = ranges.mapTo(mutableSetOf()) { it.epoch }
+                grant = ConfirmedGrant(order.instance, epochs, leaseUntilMs).takeIf { result.clock.instance == order.instance }
+            }
+            is OrderResult.Refused -> grant = null
+            is OrderResult.NoAnswer -> unansweredExpiryMs = max(unansweredExpiryMs, leaseUntilMs)
+        }
+        takeIn(result)
+    }
+
+    private fun takeIn(result: OrderResult) {
+        when (result) {
+            is OrderResult.Done -> answered(result.clock)
+            is OrderResult.Refused -> result.clock?.let { answered(it) } ?: contact.answered()
+            is OrderResult.NoAnswer -> failed(result.reason)
+        }
+    }
+
+    private companion object {
+        /** A healthy target answers an order within a few milliseconds; two timeouts fit into the time before a target counts as lost. */
+        const val ORDER_TIMEOUT_MS = 200L
+
+        /** Pause between probes of a target that does not answer. */
+        const val PROBE_PAUSE_MS = 100L
+    }
+}
+
+/** The range in the form that targets are granted it. */
+internal fun RangeEntry.granted(): GrantedRange = GrantedRange(service.value, range.from, range.to, epoch)
--- /dev/null
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeGateway.kt
@@ -0,0 +1,71 @@
+package yuccaflow.router.fake
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import yuccaflow.control.KeyRange
+import yuccaflow.control.ServiceName
+import yuccaflow.control.TargetId
+import yuccaflow.control.TargetLoad
+import yuccaflow.control.TargetSpec
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.SocketAddress
+import yuccaflow.platform.TargetOrders
+import yuccaflow.platform.TimerService
+import yuccaflow.platform.WorkLimits
+import yuccaflow.platform.WorkResult
+import yuccaflow.router.admission.RunningRequests
+import yuccaflow.router.ownership.Ownership
+import yuccaflow.router.ownership.WorkPermit
+
+/** The smallest request path: asks for a permit, sends the work, and counts what runs. */
+class FakeGateway(
+    private val orders: TargetOrders,
+    private val timer: TimerService,
+    private val ownership: () -> Ownership,
+) : RunningRequests {
+    private data class Running(
+        val number: Long,
+        val target: TargetId,
+        val service: ServiceName,
+        val key: String?,
+    )
+
+    private val running = MutableStateFlow(emptySet<Running>())
+    private var count = 0L
+    val ramps = mutableListOf<TargetId>()
+
+    /** Sends one request of [runLimitMs]; null when no permit was given. */
+    suspend fun send(spec: TargetSpec, key: String?, runLimitMs: Long, idempotent: Boolean = true): WorkResult? {
+        val entry = Running(++count, spec.id, spec.service, key)
+        running.value += entry
+        try {
+            val permit = ownership().permit(spec.id, spec.service, key, idempotent) as? WorkPermit.Granted ?: return null
+            val runBefore = permit.clock?.atLocal(timer.nowMs() + runLimitMs)
+            val limits = WorkLimits("$key-$count", permit.epoch, permit.primaryEpoch, runBefore, runLimitMs)
+            val result = orders.work(SocketAddress.parseOrNull(spec.address)!!, HttpRequest("GET", "/"), limits)
+            when (result) {
+                is WorkResult.Answered -> result.clock?.let { ownership().answered(spec.id, it) }
+                is WorkResult.NotRun -> result.clock?.let { ownership().answered(spec.id, it) }
+                is WorkResult.Unknown -> ownership().failed(spec.id, result.reason)
+            }
+            return result
+        } finally {
+            running.value -= entry
+        }
+    }
+
+    override suspend fun awaitNoneRunning(target: TargetId, service: ServiceName, range: KeyRange) {
+        val before = running.value.filter { it.target == target && it.service == service && it.key != null && it.key in range }.toSet()
+        running.first { now -> before.none { it in now } }
+    }
+
+    override suspend fun awaitNoneRunning(target: TargetId) {
+        running.first { now -> now.none { it.target == target } }
+    }
+
+    override fun loads(): List<TargetLoad> = emptyList()
+
+    override fun restartRamp(target: TargetId) {
+        ramps += target
+    }
+}
--- /dev/null
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeTarget.kt
@@ -0,0 +1,160 @@
+package yuccaflow.router.fake
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.SocketAddress
+import yuccaflow.platform.GrantOrder
+import yuccaflow.platform.GrantedRange
+import yuccaflow.platform.OrderResult
+import yuccaflow.platform.TargetClock
+import yuccaflow.platform.TargetHealth
+import yuccaflow.platform.TargetLoadReport
+import yuccaflow.platform.TargetOrders
+import yuccaflow.platform.TimerService
+import yuccaflow.platform.WorkLimits
+import yuccaflow.platform.WorkResult
+
+/** One run of work at a target. */
+data class FakeRun(
+    val target: SocketAddress,
+    val requestId: String,
+    val epoch: Long,
+    val startMs: Long,
+    val endMs: Long,
+)
+
+/** A target in memory. While it is frozen it answers nothing, and carries out what had arrived when it wakes. */
+class FakeTarget(
+    val address: SocketAddress,
+    private val checksFences: Boolean,
+    private val timer: TimerService,
+    private val scope: CoroutineScope,
+) {
+    private class Held(
+        val range: GrantedRange,
+        val expiresAtClockMs: Long,
+    )
+
+    private val isFrozen = MutableStateFlow(false)
+    private var held = emptyList<Held>()
+    private var highestPrimaryEpoch = 0L
+    private val seenEpochs = mutableMapOf<String, Long>()
+    private var starts = 1
+    private var startedAtMs = -CLOCK_START_MS
+    val runs = mutableListOf<FakeRun>()
+
+    /** Ranges that the target holds an unexpired grant of. */
+    val grants: List<GrantedRange> get() = held.filter { it.expiresAtClockMs > clockMs }.map { it.range }
+
+    private val clockMs: Long get() = timer.nowMs() - startedAtMs
+    private val instance: String get() = "$address#$starts"
+
+    fun freeze() {
+        isFrozen.value = true
+    }
+
+    fun wake() {
+        isFrozen.value = false
+    }
+
+    /** Loses all state and comes back as another instance. */
+    fun restart() {
+        starts++
+        startedAtMs = timer.nowMs()
+        held = emptyList()
+        highestPrimaryEpoch = 0
+    }
+
+    /** Carries out [order] as soon as the target is awake, whether or not the caller still waits. */
+    suspend fun <T> carryOut(order: FakeTarget.() -> T): T = scope
+        .async {
+            delay(LATENCY_MS)
+            isFrozen.first { !it }
+            order()
+        }.await()
+
+    fun clock(): TargetClock = TargetClock(instance, clockMs, timer.nowMs())
+
+    fun grant(order: GrantOrder): OrderResult {
+        if (order.instance != instance) return OrderResult.Refused(STATUS_REFUSED, "another instance", clock())
+        if (order.primaryEpoch < highestPrimaryEpoch || order.ranges.any { it.epoch < (seenEpochs[it.from] ?: 0) }) {
+            return OrderResult.Refused(STATUS_REFUSED, "old epoch", clock())
+        }
+        highestPrimaryEpoch = order.primaryEpoch
+        order.ranges.forEach { seenEpochs[it.from] = it.epoch }
+        held = order.ranges.map { Held(it, order.expiresAtClockMs) }
+        return OrderResult.Done(clock())
+    }
+
+    fun revoke(ranges: List<GrantedRange>): OrderResult {
+        held = held.filterNot { it.range in ranges }
+        return OrderResult.Done(clock())
+    }
+
+    /** Runs work for [runMs]. */
+    suspend fun work(limits: WorkLimits, runMs: Long): WorkResult {
+        val startMs = timer.nowMs()
+        val runBefore = limits.runBeforeClockMs
+        if (runBefore != null && clockMs > runBefore) return WorkResult.NotRun("late", shed = false, clock())
+        if (checksFences && limits.epoch != 0L && grants.none { it.epoch == limits.epoch }) {
+            return WorkResult.NotRun("fence", shed = false, clock())
+        }
+        delay(runMs)
+        runs += FakeRun(address, limits.requestId, limits.epoch, startMs, timer.nowMs())
+        return WorkResult.Answered(HttpResponse(STATUS_OK), clock())
+    }
+
+    private companion object {
+        const val LATENCY_MS = 1L
+        const val CLOCK_START_MS = 1_000L
+        const val STATUS_REFUSED = 412
+        const val STATUS_OK = 200
+    }
+}
+
+/** All targets of a test, as one router reaches them; [isCut] tells whether it reaches [SocketAddress] at all. */
+class FakeTargets(
+    private val targets: Map<SocketAddress, FakeTarget>,
+    private val isCut: (SocketAddress) -> Boolean,
+) : TargetOrders,
+    TargetHealth {
+    override suspend fun grant(address: SocketAddress, order: GrantOrder, timeoutMs: Long): OrderResult =
+        exchange(address, timeoutMs) { grant(order) } ?: OrderResult.NoAnswer("timeout")
+
+    override suspend fun revoke(address: SocketAddress, ranges: List<GrantedRange>, timeoutMs: Long): OrderResult =
+        exchange(address, timeoutMs) { revoke(ranges) } ?: OrderResult.NoAnswer("timeout")
+
+    override suspend fun probe(address: SocketAddress, timeoutMs: Long): OrderResult =
+        exchange(address, timeoutMs) { OrderResult.Done(clock()) } ?: OrderResult.NoAnswer("timeout")
+
+    override suspend fun work(address: SocketAddress, request: HttpRequest, limits: WorkLimits): WorkResult {
+        val target = targets.getValue(address)
+        val result = withTimeoutOrNull(limits.timeoutMs) {
+            if (isCut(address)) delay(Long.MAX_VALUE)
+            target.carryOut { Unit }
+            target.work(limits, WORK_MS)
+        }
+        return result ?: WorkResult.Unknown("timeout")
+    }
+
+    override suspend fun cancel(address: SocketAddress, requestId: String) = Unit
+
+    override suspend fun load(address: SocketAddress, timeoutMs: Long): TargetLoadReport? = null
+
+    private suspend fun <T> exchange(address: SocketAddress, timeoutMs: Long, order: FakeTarget.() -> T): T? = withTimeoutOrNull(
+        timeoutMs,
+    ) {
+        if (isCut(address)) delay(Long.MAX_VALUE)
+        targets.getValue(address).carryOut(order)
+    }
+
+    private companion object {
+        const val WORK_MS = 10L
+    }
+}
