--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/RouterMembership.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/RouterMembership.kt
@@ -90,7 +90,7 @@
         is PeerMessage.Heartbeat -> {
             suspicions.heardFrom(message.router)
             val valid = leaseValidUntilMs() > parts.timer.nowMs()
-            PeerMessage.HeartbeatAnswer(parts.table.position, valid, routerId)
+            PeerMessage.HeartbeatAnswer(routerId, parts.table.position, valid)
         }
         is PeerMessage.ReadLog -> read(message)
         is PeerMessage.AppendLog -> append(message)
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/PeerMessage.kt
@@ -43,14 +43,14 @@
 
     /**
      * A witness's answer. [confirmed] is false when the witness holds no valid lease itself. [witness] names the answering router, since
-     * a restarted router may listen on the address of a recorded witness and is none; an answer without it confirms nothing.
+     * a restarted router may listen on the address of a recorded witness and is none.
      */
     @Serializable
     @SerialName("heartbeat-answer")
     data class HeartbeatAnswer(
+        val witness: RouterId,
         val controlPosition: Long,
         val confirmed: Boolean,
-        val witness: RouterId? = null,
     ) : PeerMessage
 
     /** A caller's request on its way from the entry router to the primary of [target]. */
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/membership/MembershipTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/membership/MembershipTest.kt
@@ -7,6 +7,8 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import yuccaflow.platform.Streams
 import yuccaflow.router.fake.FakeRouter
