--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
@@ -0,0 +1,94 @@
+package yuccaflow.router
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import yuccaflow.control.PlacementPolicy
+import yuccaflow.control.RouterId
+import yuccaflow.http.HttpClientSettings
+import yuccaflow.http.HttpHandler
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.httpClient
+import yuccaflow.platform.TimerService
+import yuccaflow.platform.httpHostList
+import yuccaflow.platform.httpLogService
+import yuccaflow.platform.httpTargetHealth
+import yuccaflow.platform.httpTargetOrders
+import yuccaflow.router.admission.RunningRequests
+import yuccaflow.router.membership.Membership
+import yuccaflow.router.membership.membership
+import yuccaflow.router.ownership.Ownership
+import yuccaflow.router.ownership.OwnershipLinks
+import yuccaflow.router.ownership.ownership
+import yuccaflow.router.peer.PeerMessage
+import yuccaflow.router.peer.PeerNode
+import yuccaflow.router.settings.RouterSettings
+import yuccaflow.router.telemetry.adminHandler
+import yuccaflow.router.telemetry.spanStore
+
+/** All parts of a router, wired together. Nothing runs before [parts] are run. */
+internal class RouterNode(
+    val settings: RouterSettings,
+    private val peers: PeerNode,
+    val timer: TimerService,
+    registry: PrometheusMeterRegistry,
+) {
+    private val platformClient = httpClient()
+    private val targetClient = httpClient(HttpClientSettings(connectTimeoutMs = TARGET_CONNECT_TIMEOUT_MS))
+    private val orders = httpTargetOrders(targetClient, timer)
+    private val spans = spanStore()
+
+    /** Set when a planned stop begins. */
+    @Volatile
+    var isStopping: Boolean = false
+
+    val membership: Membership =
+        membership(settings, httpLogService(platformClient, settings.logService), peers, timer, registry)
+
+    val ownership: Ownership = ownership(
+        settings = settings,
+        membership = membership,
+        links = OwnershipLinks(
+            orders = orders,
+            health = httpTargetHealth(targetClient, timer),
+            hostList = settings.hostList?.let { httpHostList(platformClient, it) },
+            peers = peers,
+        ),
+        running = { running },
+        policy = PlacementPolicy { emptyList() },
+        timer = timer,
+        registry = registry,
+    )
+
+    private val running: RunningRequests get() = TODO("request path")
+
+    val entry: HttpHandler = HttpHandler { HttpResponse(NO_SUCH_SERVICE) }
+
+    val admin: HttpHandler = adminHandler(RouterAdminSource(this, registry), spans)
+
+    /** The parts that run side by side. */
+    fun parts(): List<SupervisedPart> = listOf(
+        SupervisedPart("peers") { peers.run() },
+        SupervisedPart("membership") { membership.run() },
+        SupervisedPart("ownership") { ownership.run() },
+    )
+
+    /** Whether [router] is in the control table. */
+    fun isKnown(router: RouterId): Boolean = router in membership
+        .state()
+        .value.table.routers
+
+    /** Answers a peer's message; null when no part understands it. */
+    suspend fun handle(from: RouterId, message: PeerMessage): PeerMessage? =
+        membership.handle(from, message) ?: ownership.handle(from, message)
+
+    /** Closes what holds connections. */
+    suspend fun close() {
+        platformClient.close()
+        targetClient.close()
+    }
+
+    private companion object {
+        /** Short enough to try again within a request's run limit. */
+        const val TARGET_CONNECT_TIMEOUT_MS = 200L
+        const val NO_SUCH_SERVICE = 404
+    }
+}
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/Ownership.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/Ownership.kt
@@ -1,6 +1,8 @@
 package yuccaflow.router.ownership
 
 import yuccaflow.control.RouterId
+import yuccaflow.control.TargetId
+import yuccaflow.control.TargetLoad
 import yuccaflow.router.peer.PeerMessage
 
 /** Grants, moves and planning: keeps the targets of this router granted and brings the control table closer to the configuration. */
@@ -10,6 +12,9 @@
     /** Answers load queries; null for other messages. */
     suspend fun handle(from: RouterId, message: PeerMessage): PeerMessage?
 
+    /** The latest load of each target that this router is the primary of, or asks others for because it may have to plan for it. */
+    fun loads(): Map<TargetId, TargetLoad>
+
     /** Runs until cancelled. */
     suspend fun run()
 
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/RouterOwnership.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/RouterOwnership.kt
@@ -81,6 +81,8 @@
         kept[target]?.keeper?.failed(reason)
     }
 
+    override fun loads(): Map<TargetId, TargetLoad> = collector.loads()
+
     override suspend fun handle(from: RouterId, message: PeerMessage): PeerMessage? =
         if (message is PeerMessage.LoadQuery) PeerMessage.LoadReport(ownLoads()) else null
 
