--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/AdminPages.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/AdminPages.kt
@@ -1,21 +1,12 @@
 package yuccaflow.bench
 
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.contentOrNull
-
-/** The objects of a JSON list, or of the only list in a JSON object. */
-internal fun listOfObjects(text: String): List<JsonObject> {
-    val element = BenchJson.parseToJsonElement(text)
-    val list = element as? JsonArray ?: (element as? JsonObject)?.values?.filterIsInstance<JsonArray>()?.singleOrNull()
-    return list.orEmpty().filterIsInstance<JsonObject>()
-}
-
-/** The text of a JSON value, or null for null and for anything else. */
-internal fun JsonElement?.text(): String? = (this as? JsonPrimitive)?.contentOrNull
+import yuccaflow.control.AdminJson
+import yuccaflow.control.KeyRange
+import yuccaflow.control.OwnersReport
+import yuccaflow.control.RangeReport
+import yuccaflow.control.StatusReport
+import yuccaflow.control.TargetsReport
 
 private const val AWAIT_LIMIT_MS = 40_000L
 private const val AWAIT_POLL_MS = 100L
@@ -29,21 +20,17 @@
     }
 }
 
-/** The name of a target on `/targets`. */
-internal fun JsonObject.name(): String? = this["target"].text() ?: this["id"].text() ?: this["name"].text()
+/** Tells whether the range holds [key] of [service]. */
+internal fun RangeReport.holds(service: String, key: String): Boolean = this.service.value == service && key in KeyRange(from, to)
 
-/** Tells whether a range on `/owners` holds [key] of [service]. */
-internal fun JsonObject.holds(service: String, key: String): Boolean {
-    val from = this["from"].text().orEmpty()
-    val to = this["to"].text()
-    return this["service"].text() == service && key >= from && (to.isNullOrEmpty() || key < to)
-}
+/** The router's own view of itself, or null when it does not answer. */
+internal suspend fun RouterHandle.status(): StatusReport? = page("/status")
 
-/** The id of the running router, from its `/status`. */
-internal suspend fun RouterHandle.id(): String? {
-    val status = Web.json(plan.admin, "/status") as? JsonObject
-    return status?.get("router").text() ?: status?.get("router_id").text()
-}
+/** The ranges as the router knows them, or null when it does not answer. */
+internal suspend fun RouterHandle.owners(): OwnersReport? = page("/owners")
+
+/** The targets as the router knows them, or null when it does not answer. */
+internal suspend fun RouterHandle.targets(): TargetsReport? = page("/targets")
 
-/** The owner of a range on `/owners`. */
-internal fun JsonObject.owner(): String? = this["owner"].text() ?: this["target"].text()
+private suspend inline fun <reified T> RouterHandle.page(path: String): T? =
+    Web.getOrNull(plan.admin, path)?.let { AdminJson.decodeFromString<T>(it) }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
@@ -55,6 +55,6 @@
     val service = cluster.deployment.services
         .single()
         .name
-    val ranges = cluster.owners().filter { it["service"].text() == service }
-    return samples().map { key -> ranges.firstOrNull { it.holds(service, key) }?.owner() }
+    val ranges = cluster.owners().filter { it.service.value == service }
+    return samples().map { key -> ranges.firstOrNull { it.holds(service, key) }?.owner?.value }
 }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
@@ -4,6 +4,10 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import yuccaflow.control.RangeReport
+import yuccaflow.control.RouterId
 import yuccaflow.http.SocketAddress
 
 /** Choices for a run of a deployment. */
@@ -160,9 +164,17 @@
         val ranges = deployment.services.sumOf { it.ranges }
         awaitUntil("all $ranges ranges have owners and all targets primaries") {
             routers.all { router ->
-                val owners = Web.getOrNull(router.plan.admin, "/owners")?.let(::listOfObjects).orEmpty()
-                val primaries = Web.getOrNull(router.plan.admin, "/targets")?.let(::listOfObjects).orEmpty()
-                owners.size >= ranges && primaries.count { it["primary"].text() != null } == deployment.targets.size
+                val primaries = router
+                    .targets()
+                    ?.targets
+                    .orEmpty()
+                    .count { it.primary != null }
+                router
+                    .owners()
+                    ?.ranges
+                    .orEmpty()
+                    .size >= ranges &&
+                    primaries == deployment.targets.size
             }
         }
     }
@@ -203,23 +215,16 @@
     }
 
     /** The ranges of all services as a live router reports them. */
-    suspend fun owners(): List<JsonObject> {
-        val router = routers.first { it.process.isAlive }
-        return listOfObjects(Web.get(router.plan.admin, "/owners"))
-    }
+    suspend fun owners(): List<RangeReport> = routers.firstNotNullOf { it.takeIf { it.process.isAlive }?.owners() }.ranges
 
     /** The primary router of each target, by id. */
-    suspend fun primaries(): Map<String, String> {
-        val router = routers.first { it.process.isAlive }
-        return listOfObjects(Web.get(router.plan.admin, "/targets"))
-            .mapNotNull { target -> target.name()?.let { name -> target["primary"].text()?.let { name to it } } }
-            .toMap()
-    }
+    suspend fun primaries(): Map<String, RouterId?> =
+        routers.firstNotNullOf { it.takeIf { it.process.isAlive }?.targets() }.targets.associate { it.target.value to it.primary }
 
     /** Offset that the next record of the control stream gets. */
     suspend fun controlEnd(): Long {
         val page = Web.json(log, "/streams/control?from=${Long.MAX_VALUE}&max=1&wait_ms=0") as JsonObject
-        return page["end"].text()?.toLong() ?: 0
+        return page.getValue("end").jsonPrimitive.long
     }
 
     /** Processor time that the routers have used. */
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
@@ -53,7 +53,7 @@
 }
 
 private suspend fun observe(cluster: Cluster, load: CallerLoad, loss: Loss): LossResult {
-    val touchedRanges = cluster.owners().filter { it.owner() in loss.touched }
+    val touchedRanges = cluster.owners().filter { it.owner.value in loss.touched }
     load.reset()
     loss.lose()
     delay(OBSERVE_MS)
@@ -102,8 +102,8 @@
 
 private suspend fun primaryLoss(cluster: Cluster, round: Int): Loss {
     val primaries = cluster.primaries()
-    val victim = cluster.routers.filter { it.id() in primaries.values }.let { it[round % it.size] }
-    val id = victim.id()
+    val victim = cluster.routers.filter { it.status()?.router in primaries.values }.let { it[round % it.size] }
+    val id = victim.status()?.router
     return Loss(
         "SIGKILL of a primary",
         primaries.filterValues { it == id }.keys,
