Route callers' requests to the primary of their target

Answers carry the cause of a refusal, so that the entry router knows whether to wait for a change of ownership, to try elsewhere, or to refuse at once.

--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/ForwardServer.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/ForwardServer.kt
@@ -1,12 +1,12 @@
 package yuccaflow.router.admission
 
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import yuccaflow.control.RouterId
 import yuccaflow.control.TargetId
 import yuccaflow.router.peer.PeerMessage
 import java.util.concurrent.ConcurrentHashMap
-import kotlinx.coroutines.Job
 
 /** Handles the requests that other routers forward to this one as a primary. */
 class ForwardServer(
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
@@ -3,12 +3,15 @@
 import com.google.common.hash.HashCode
 import com.google.common.hash.Hashing
 import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Tag
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
 import yuccaflow.control.KeyRange
 import yuccaflow.control.ServiceName
 import yuccaflow.control.ServiceSpec
@@ -184,17 +187,25 @@
 
     private fun notRun(reason: String, cause: NotRunCause = NotRunCause.NOT_RESPONSIBLE) = ForwardOutcome.NotRun(reason, cause)
 
-    private fun misused(request: ForwardRequest) =
-        ForwardOutcome.Answered(
-            UNPROCESSABLE_CONTENT,
-            listOf(HeaderLine("Content-Type", "application/json"), HeaderLine("Yuccaflow-Outcome", "not-run")),
-            """{"error":"not-run","reason":"this $IDEMPOTENCY_KEY_HEADER was used for another request","request_id":"${request.requestId}"}"""
-                .encodeToByteArray(),
-        )
+    private fun misused(request: ForwardRequest): ForwardOutcome {
+        val body = buildJsonObject {
+            put("error", "not-run")
+            put("reason", "this $IDEMPOTENCY_KEY_HEADER was used for another request")
+            put("request_id", request.requestId)
+        }
+        val headers = listOf(HeaderLine("Content-Type", "application/json"), HeaderLine("Yuccaflow-Outcome", "not-run"))
+        return ForwardOutcome.Answered(UNPROCESSABLE_CONTENT, headers, body.toString().encodeToByteArray())
+    }
 
     private fun fingerprintOf(request: ForwardRequest): HashCode =
-        Hashing.sha256().newHasher()
-            .putUnencodedChars(request.method).putChar(' ').putUnencodedChars(request.requestTarget).putChar(' ').putBytes(request.body)
+        Hashing
+            .sha256()
+            .newHasher()
+            .putUnencodedChars(request.method)
+            .putChar(' ')
+            .putUnencodedChars(request.requestTarget)
+            .putChar(' ')
+            .putBytes(request.body)
             .hash()
 
     private fun deadlineOf(request: ForwardRequest, service: ServiceSpec): Long =
@@ -202,21 +213,35 @@
 
     private fun record(lane: TargetLane, request: ForwardRequest) {
         lanes[lane.target]?.usedMs = timer.nowMs()
-        lane.rates.record(request.key?.let { state.state().value.table.rangeOf(request.service, it)?.range }, request.key)
+        lane.rates.record(
+            request.key?.let {
+                state
+                    .state()
+                    .value.table
+                    .rangeOf(request.service, it)
+                    ?.range
+            },
+            request.key,
+        )
     }
 
     /** The lane of [target], begun anew when its slots, address or service have changed. */
     private fun laneOf(target: TargetSpec): TargetLane {
         val known = lanes[target.id]
         if (known != null && known.spec == target) return known.lane
-        return lanes.compute(target.id) { _, current ->
-            current?.takeIf { it.spec == target } ?: LaneEntry(target, newLane(target))
-        }!!.lane
+        return lanes
+            .compute(target.id) { _, current ->
+                current?.takeIf { it.spec == target } ?: LaneEntry(target, newLane(target))
+            }!!
+            .lane
     }
 
     private fun newLane(target: TargetSpec): TargetLane {
         val lane = TargetLane(target.id, target.service, target.slots, timer)
-        val tags = listOf(io.micrometer.core.instrument.Tag.of("target", target.id.value))
+        val tags = listOf(
+            io.micrometer.core.instrument.Tag
+                .of("target", target.id.value),
+        )
         registry.gauge(MetricNames.IN_FLIGHT, tags, lane) { it.inFlight.toDouble() }
         registry.gauge(MetricNames.QUEUED, tags, lane) { it.queued.toDouble() }
         registry.gauge(MetricNames.CAPACITY, tags, lane) { it.limit.toDouble() }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/WorkSender.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/WorkSender.kt
@@ -104,7 +104,11 @@
 
             is WorkResult.NotRun -> {
                 seen(target, lane, result.clock)
-                if (result.shed) lane.shed() else if (result.clock == null) failed(target, lane, result.reason, elapsedMs)
+                if (result.shed) {
+                    lane.shed()
+                } else if (result.clock == null) {
+                    failed(target, lane, result.reason, elapsedMs)
+                }
             }
 
             is WorkResult.Unknown -> failed(target, lane, result.reason, elapsedMs)
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/EntryHandler.kt
@@ -0,0 +1,157 @@
+package yuccaflow.router.routing
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import yuccaflow.control.RouterId
+import yuccaflow.control.ServiceName
+import yuccaflow.control.ServiceSpec
+import yuccaflow.http.HttpHandler
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.platform.TimerService
+import yuccaflow.router.StateSource
+import yuccaflow.router.admission.TargetGateway
+import yuccaflow.router.peer.ForwardOutcome
+import yuccaflow.router.peer.PeerLink
+import yuccaflow.router.settings.RouterSettings
+import yuccaflow.router.telemetry.MetricNames
+import yuccaflow.router.telemetry.RouterTracing
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+private const val DEADLINE_HEADER = "X-Deadline-Ms"
+
+/** Ids beyond this length are replaced, because they travel in every message and log line about the request. */
+private const val REQUEST_ID_LIMIT_CHARS = 128
+private val requestIdPattern = Regex("[A-Za-z0-9._~:+/=-]{1,$REQUEST_ID_LIMIT_CHARS}")
+
+/** Service tag of requests that belong to no service. */
+private const val NO_SERVICE = "none"
+
+/** Returns the handler of callers' requests: finds service, key and owner, and brings each request to its target or refuses it. */
+fun entryHandler(
+    settings: RouterSettings,
+    state: StateSource,
+    identity: () -> RouterId,
+    gateway: TargetGateway,
+    peers: PeerLink,
+    timer: TimerService,
+    registry: MeterRegistry,
+    tracing: RouterTracing,
+): HttpHandler {
+    val book = TargetBook(timer, Random.Default)
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val forwarder = Forwarder(identity, gateway, peers, book, timer, scope)
+    return EntryHandler(settings.capacityRequests, state, forwarder, book, timer, registry, tracing)
+}
+
+/** Serves callers' requests. */
+internal class EntryHandler(
+    private val capacityRequests: Int,
+    private val state: StateSource,
+    forwarder: Forwarder,
+    book: TargetBook,
+    private val timer: TimerService,
+    private val registry: MeterRegistry,
+    private val tracing: RouterTracing,
+) : HttpHandler {
+    private val budgets = ServiceBudgets(timer, registry)
+    private val holding = Holding(state, timer, capacityRequests)
+    private val divided = DividedDispatcher(state, forwarder, holding, timer)
+    private val shared = SharedDispatcher(state, forwarder, book, holding, timer) { budgets.of(it.service.name).hedges }
+    private val active = AtomicInteger()
+
+    /** What became of one request, for the meters. */
+    private class Reply(
+        val response: HttpResponse,
+        val outcome: String,
+        val reason: String? = null,
+    )
+
+    override suspend fun handle(request: HttpRequest): HttpResponse {
+        val startMs = timer.nowMs()
+        val requestId = request.headers[REQUEST_ID_HEADER]?.takeIf { requestIdPattern.matches(it) } ?: UUID.randomUUID().toString()
+        val service = state
+            .state()
+            .value.config
+            .serviceOf(request)
+        try {
+            val reply = when {
+                active.incrementAndGet() > capacityRequests -> refused(
+                    Rejection.NOT_RUN,
+                    "router is at its capacity",
+                    requestId,
+                    "capacity",
+                )
+                service == null -> refused(Rejection.NO_SERVICE, "no service for path ${request.path}", requestId, "no-service")
+                else -> serve(request, service, requestId, startMs)
+            }
+            count(service?.name, reply, timer.nowMs() - startMs)
+            return reply.response
+        } finally {
+            active.decrementAndGet()
+        }
+    }
+
+    private suspend fun serve(request: HttpRequest, service: ServiceSpec, requestId: String, startMs: Long): Reply {
+        val key = when (val result = service.keyRule?.keyOf(request)) {
+            null -> null
+            is KeyResult.Found -> result.key
+            is KeyResult.Missing -> return refused(Rejection.MALFORMED, result.reason, requestId, "no-key")
+        }
+        val limitMs = deadlineLimitMs(request, service)
+            ?: return refused(Rejection.MALFORMED, "expected a positive whole number in $DEADLINE_HEADER", requestId, "deadline")
+        val span = tracing.start("entry", requestId, request.headers["traceparent"])
+        try {
+            span.tag("service", service.name.value)
+            val inbound = Inbound(requestId, service, key, startMs + limitMs, span.traceparent, request)
+            return replyTo(dispatch(inbound), requestId).also { span.tag("outcome", it.outcome) }
+        } finally {
+            span.end()
+        }
+    }
+
+    private suspend fun dispatch(inbound: Inbound): ForwardOutcome {
+        val budget = budgets.of(inbound.service.name)
+        budget.earn()
+        val startMs = timer.nowMs()
+        val outcome = (if (inbound.key == null) shared else divided).dispatch(inbound, budget.retries)
+        if (outcome is ForwardOutcome.Answered) budget.record(timer.nowMs() - startMs)
+        return outcome
+    }
+
+    private fun deadlineLimitMs(request: HttpRequest, service: ServiceSpec): Long? {
+        val text = request.headers[DEADLINE_HEADER] ?: return service.runLimitMs
+        return text
+            .trim()
+            .toLongOrNull()
+            ?.takeIf { it > 0 }
+            ?.coerceAtMost(service.runLimitMs)
+    }
+
+    private fun replyTo(outcome: ForwardOutcome, requestId: String): Reply =
+        when (outcome) {
+            is ForwardOutcome.Answered -> Reply(outcome.toResponse(requestId), "answered")
+            is ForwardOutcome.NotRun -> refused(Rejection.NOT_RUN, outcome.reason, requestId, outcome.cause.name.lowercase())
+            is ForwardOutcome.Unknown -> refused(Rejection.UNKNOWN, outcome.reason, requestId, "unknown")
+        }
+
+    private fun refused(rejection: Rejection, reason: String, requestId: String, reasonTag: String): Reply {
+        val outcome = when (rejection) {
+            Rejection.MALFORMED, Rejection.NO_SERVICE -> "rejected"
+            Rejection.NOT_RUN -> "not-run"
+            Rejection.UNKNOWN -> "unknown"
+        }
+        return Reply(refusal(rejection, reason, requestId), outcome, reasonTag)
+    }
+
+    private fun count(service: ServiceName?, reply: Reply, elapsedMs: Long) {
+        val name = service?.value ?: NO_SERVICE
+        registry.timer(MetricNames.REQUESTS, "service", name, "outcome", reply.outcome).record(elapsedMs, TimeUnit.MILLISECONDS)
+        reply.reason?.let { registry.counter(MetricNames.REFUSALS, "service", name, "reason", it).increment() }
+    }
+}
--- /dev/null
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/Responses.kt
@@ -0,0 +1,73 @@
+package yuccaflow.router.routing
+
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import yuccaflow.http.HttpHeader
+import yuccaflow.http.HttpHeaderList
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.headersOf
+import yuccaflow.router.peer.ForwardOutcome
+
+internal const val REQUEST_ID_HEADER: String = "X-Request-Id"
+internal const val OUTCOME_HEADER: String = "Yuccaflow-Outcome"
+private const val INTERNAL_PREFIX = "Yuccaflow-"
+private const val RETRY_AFTER_SECONDS = "1"
+
+/** Headers that belong to one connection, which the HTTP library sets anew on the next one. */
+private val hopByHop = setOf(
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+)
+
+/** The headers without those of one connection. */
+internal fun List<HttpHeader>.endToEnd(): List<HttpHeader> {
+    val named = filter { it.name.equals("connection", ignoreCase = true) }.flatMap { it.value.split(',') }.map { it.trim().lowercase() }
+    return filterNot { it.name.lowercase() in hopByHop || it.name.lowercase() in named }
+}
+
+/** Tells whether only the system may set the header. */
+internal fun HttpHeader.isInternal(): Boolean = name.startsWith(INTERNAL_PREFIX, ignoreCase = true)
+
+/** A refusal by the router. */
+internal enum class Rejection(
+    val status: Int,
+    val error: String,
+    val outcome: String,
+) {
+    MALFORMED(400, "malformed", "not-run"),
+    NO_SERVICE(404, "no-such-service", "not-run"),
+    NOT_RUN(503, "not-run", "not-run"),
+    UNKNOWN(504, "unknown", "unknown"),
+}
+
+/** Builds a refusal with its JSON body. */
+internal fun refusal(rejection: Rejection, reason: String, requestId: String): HttpResponse {
+    val body = buildJsonObject {
+        put("error", rejection.error)
+        put("reason", reason)
+        put("request_id", requestId)
+    }
+    val headers = headersOf(
+        "Content-Type" to "application/json",
+        REQUEST_ID_HEADER to requestId,
+        OUTCOME_HEADER to rejection.outcome,
+    )
+    return HttpResponse(
+        rejection.status,
+        if (rejection == Rejection.NOT_RUN) headers.with("Retry-After", RETRY_AFTER_SECONDS) else headers,
+        body.toString().encodeToByteArray(),
+    )
+}
+
+/** Builds the caller's response from a target's answer. */
+internal fun ForwardOutcome.Answered.toResponse(requestId: String): HttpResponse {
+    val headers = headers.map { HttpHeader(it.name, it.value) }.endToEnd().filterNot { it.isInternal() && it.name != OUTCOME_HEADER }
+    return HttpResponse(status, HttpHeaderList(headers).with(REQUEST_ID_HEADER, requestId), body)
+}
