Group the appends of a router into batches

A planner decision and a burst of suspicions cost one append per record. At the size to design for, the loss of a zone (61 routers) needs several hundred records at once. Up to 4 appends are in flight; what waits meanwhile goes out as one batch. A single queue was ruled out: one lost answer would hold up the cancellation of a suspicion. In the test a burst of 100 records takes at most 5 appends.

--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ControlRecord.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ControlRecord.kt
@@ -164,3 +164,6 @@
         val snapshot: Snapshot,
     ) : ControlRecord
 }
+
+/** One record that stands for [records], which must not be empty: the record itself, or a batch of them. */
+fun batchOf(records: List<ControlRecord>): ControlRecord = records.singleOrNull() ?: ControlRecord.Batch(records)
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/MembershipParts.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/MembershipParts.kt
@@ -37,8 +37,11 @@
     /** The address at which [router] is recorded, or null when it is unknown. */
     fun addressOf(router: RouterId): SocketAddress? = table.routers[router]?.let { SocketAddress.parseOrNull(it.peerAddress) }
 
-    suspend fun append(record: ControlRecord): AppendResult =
+    private val appender = GroupAppender { record ->
         access.append(Streams.CONTROL, encodeControlRecord(record), record::class.simpleName.orEmpty())
+    }
+
+    suspend fun append(record: ControlRecord): AppendResult = appender.append(record)
 
     /**
      * Appends what [record] gives again and again until [done] holds for the table that was read. Only for records of which a second
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/SuspicionDuty.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/membership/SuspicionDuty.kt
@@ -9,6 +9,7 @@
 import yuccaflow.control.LeaseTiming
 import yuccaflow.control.RouterId
 import yuccaflow.control.SuspicionTracker
+import yuccaflow.control.batchOf
 
 /**
  * Appends what the [SuspicionTracker] decides: suspicions, their readings, their cancellations and the ends of leases.
@@ -38,10 +39,9 @@
             tracker().tableRead(nowMs, table)
             tracker().decide(nowMs, table)
         }
-        records.forEach { record ->
-            Logger.debug("appending {}", record)
-            scope.launch { parts.append(record) }
-        }
+        if (records.isEmpty()) return
+        Logger.debug("appending {}", records)
+        scope.launch { parts.append(batchOf(records)) }
     }
 
     /** The tracker of the present id; a new id has heard nothing and suspects nobody yet. */
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
@@ -1,7 +1,5 @@
 package yuccaflow.router.ownership
 
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
@@ -11,6 +9,7 @@
 import yuccaflow.control.PlacementInput
 import yuccaflow.control.PlacementPolicy
 import yuccaflow.control.RouterStage
+import yuccaflow.control.batchOf
 import yuccaflow.platform.AppendResult
 
 /**
@@ -45,14 +44,10 @@
     }
 
     private suspend fun append(records: List<ControlRecord>) {
-        for (chunk in records.take(RECORDS_PER_DECISION).chunked(CONCURRENT_APPENDS)) {
-            val results = coroutineScope { chunk.map { async { parts.membership.append(it) } }.awaitAll() }
-            val last = results.filterIsInstance<AppendResult.Appended>().maxOfOrNull { it.offset }
-            if (last == null) {
-                parts.timer.sleep(FAILED_PAUSE_MS)
-                return
-            }
-            awaitRead(last)
+        if (records.isEmpty()) return
+        when (val result = parts.membership.append(batchOf(records.take(RECORDS_PER_DECISION)))) {
+            is AppendResult.Appended -> awaitRead(result.offset)
+            else -> parts.timer.sleep(FAILED_PAUSE_MS)
         }
     }
 
@@ -66,8 +61,7 @@
         const val READ_TIMEOUT_MS = 1_000L
         const val FAILED_PAUSE_MS = 200L
 
-        /** Keeps one decision within the several hundred appends a second that the log service accepts. */
+        /** Keeps the batch of one decision within a few tens of kilobytes; the rest follows in the next decision. */
         const val RECORDS_PER_DECISION = 128
-        const val CONCURRENT_APPENDS = 16
     }
 }
--- /dev/null
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/membership/GroupAppenderTest.kt
@@ -0,0 +1,64 @@
+package yuccaflow.router.membership
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import yuccaflow.control.ControlRecord
+import yuccaflow.control.RouterId
+import yuccaflow.platform.AppendResult
+
+class GroupAppenderTest {
+    private val sent = mutableListOf<ControlRecord>()
+
+    @Nested
+    inner class `Records of a burst` {
+        /** Guards against one append per record, which the log service could not take when a zone is lost. */
+        @Test
+        fun `share a few appends, and each learns the offset of its own`() = runTest {
+            val appender = GroupAppender { record ->
+                delay(5)
+                sent += record
+                AppendResult.Appended(sent.size.toLong())
+            }
+            val results = (1..100).map { async { appender.append(leaving(it)) } }.awaitAll()
+            expectThat(sent.size).isLessThanOrEqualTo(5)
+            expectThat(sent.sumOf { (it as? ControlRecord.Batch)?.records?.size ?: 1 }).isEqualTo(100)
+            expectThat(results).all { isA<AppendResult.Appended>() }
+        }
+    }
+
+    @Nested
+    inner class `When an append is cancelled` {
+        /** Guards against callers that wait for ever for an append that another caller was sending. */
+        @Test
+        fun `the others in its batch learn that the outcome is unknown`() = runTest {
+            val never = CompletableDeferred<AppendResult>()
+            val answers = ArrayDeque(List(4) { CompletableDeferred<AppendResult>() })
+            val first = answers.first()
+            val appender = GroupAppender { (answers.removeFirstOrNull() ?: never).await() }
+            val busy = (1..4).map { launch { appender.append(leaving(it)) } }
+            runCurrent()
+            val sender = launch { appender.append(leaving(5)) }
+            val other = async { appender.append(leaving(6)) }
+            runCurrent()
+            first.complete(AppendResult.Appended(1))
+            runCurrent()
+            sender.cancel()
+            expectThat(other.await()).isA<AppendResult.AppendUnknown>()
+            busy.forEach { it.cancel() }
+        }
+    }
+
+    private fun leaving(number: Int) = ControlRecord.RouterLeaving(RouterId("r$number"))
+}
