--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/ControlRecord.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/ControlRecord.kt
@@ -29,7 +29,10 @@
         val router: RouterId,
     ) : ControlRecord
 
-    /** The router has ended its own lease and holds nothing. */
+    /**
+     * The router has ended its own lease and holds nothing: it has read its own [RouterLeaving], has stopped sending since, and every grant
+     * that it sent or took over has been revoked or has expired. Void unless the router is leaving.
+     */
     @Serializable
     @SerialName("router-stopped")
     data class RouterStopped(
@@ -78,7 +81,10 @@
         val suspicionOffset: Long,
     ) : ControlRecord
 
-    /** Sets the primary router of a target. While another live router is the primary, only that router may do it, as [by]. */
+    /**
+     * Sets the primary router of a target. While another live router is the primary, only that router may do it, as [by]. Void while
+     * [router] is leaving or under suspicion.
+     */
     @Serializable
     @SerialName("primary-assigned")
     data class PrimaryAssigned(
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterLease.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterLease.kt
@@ -77,6 +77,12 @@
         replacedEpoch = table.routers[self]?.epoch
     }
 
+    /** The change announced by [witnessesChanging] is certainly not in the stream; an append with an unknown outcome does not qualify. */
+    fun witnessesUnchanged() {
+        replacedEpoch = null
+        refresh()
+    }
+
     /** This router ends its own lease; to be called before it appends [ControlRecord.RouterStopped]. */
     fun giveUp() {
         hasEnded = true
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
@@ -32,6 +32,8 @@
 
 internal fun PersistentControlTable.stop(record: ControlRecord.RouterStopped): Change {
     val entry = liveRouter(record.router) ?: return notLive(record.router)
+    // A target that is handed to the router later than its stop was prepared may still hold a grant of the primary before it.
+    if (entry.stage != RouterStage.LEAVING) return Change.Void("router ${entry.id} stops without having announced that it leaves")
     return Change.Effective(withEnded(entry))
 }
 
@@ -82,8 +84,8 @@
 
 internal fun PersistentControlTable.assignPrimary(offset: Long, record: ControlRecord.PrimaryAssigned): Change {
     val router = liveRouter(record.router) ?: return notLive(record.router)
-    if (router.stage == RouterStage.LEAVING) return Change.Void("router ${router.id} is leaving")
     if (!isLive(record.by)) return notLive(record.by)
+    unfitness(router)?.let { return it }
     val current = primaries[record.target]
     val currentEpoch = current?.epoch ?: NO_EPOCH
     val fault =
@@ -100,6 +102,17 @@
     return Change.Effective(copy(primaries = primaries.put(record.target, PrimaryEntry(record.target, record.router, offset))))
 }
 
+/**
+ * Why [router] may not become a primary. After a handover the target holds grants of the old primary for up to a lease. If the new one was
+ * under suspicion already, its end could be recorded, and the ranges released by anyone, before these grants expire.
+ */
+private fun unfitness(router: RouterEntry): Change.Void? =
+    when {
+        router.stage == RouterStage.LEAVING -> Change.Void("router ${router.id} is leaving")
+        router.suspicion != null -> Change.Void("router ${router.id} is under suspicion ${router.suspicion.offset}")
+        else -> null
+    }
+
 /**
  * Tells whether the lease of [entry] may be ended: a majority of its recorded witnesses have read the suspicion or been ended. A router
  * without witnesses confirms itself by the log alone, where the suspicion itself stops it, so that nothing more is needed.
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
@@ -80,8 +80,8 @@
 
     private fun isSilent(nowMs: Long, router: RouterId): Boolean {
         val watch = watches[router] ?: return false
-        val spreadMs = (unitHash(self.value, router.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs).toLong()
-        return nowMs - watch.heardAtMs >= watch.suspectAfterMs + spreadMs
+        val overdueMs = nowMs - watch.heardAtMs - watch.suspectAfterMs
+        return overdueMs >= 0 && overdueMs >= unitHash(self.value, router.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs
     }
 
     private fun mayEnd(nowMs: Long, table: ControlTable, entry: RouterEntry, suspicion: Suspicion): Boolean {
--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/ControlTableTest.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/ControlTableTest.kt
@@ -17,7 +17,7 @@
         @Test
         fun `guards against a repeated registration that revives an ended router`() {
             log.accept(register("a"))
-            log.accept(ControlRecord.RouterStopped(RouterId("a")))
+            log.stop("a")
             log.reject(register("a"), "already registered")
         }
 
@@ -35,7 +35,7 @@
         fun `counts an ended witness as one that has read the suspicion`() {
             val suspicion = suspectedA()
             log.accept(ControlRecord.SuspicionRead(RouterId("a"), suspicion, RouterId("b")))
-            log.accept(ControlRecord.RouterStopped(RouterId("c")))
+            log.stop("c")
             log.accept(ControlRecord.LeaseEnded(RouterId("a"), suspicion))
         }
 
@@ -66,7 +66,7 @@
             log.accept(register("a", "b"))
             log.accept(register("c"))
             log.reject(ControlRecord.Suspected(RouterId("a"), RouterId("c")), "no witness")
-            log.accept(ControlRecord.RouterStopped(RouterId("b")))
+            log.stop("b")
             val suspicion = log.accept(ControlRecord.Suspected(RouterId("a"), RouterId("c")))
             log.accept(ControlRecord.LeaseEnded(RouterId("a"), suspicion))
         }
@@ -75,7 +75,7 @@
         fun `forgets the oldest ended routers so that the table stays bounded`() {
             repeat(250) {
                 log.accept(register("r$it"))
-                log.accept(ControlRecord.RouterStopped(RouterId("r$it")))
+                log.stop("r$it")
             }
             expectThat(log.table.routers.size).isEqualTo(200)
             expectThat(log.table.routers[RouterId("r249")]).isNotNull()
@@ -108,11 +108,21 @@
             log.reject(primary("t1", "a", NO_EPOCH, by = "b"), "ended")
         }
 
+        @Test
+        fun `guards against a handover to a router that may be ended before the old grants expire`() {
+            log.accept(register("b"))
+            log.accept(register("a", "b"))
+            val epoch = log.accept(primary("t1", "b", NO_EPOCH, by = "b"))
+            log.accept(ControlRecord.Suspected(RouterId("a"), RouterId("b")))
+            log.reject(primary("t1", "a", epoch, by = "b"), "under suspicion")
+            log.reject(ControlRecord.RouterStopped(RouterId("a")), "without having announced")
+        }
+
         @Test
         fun `lets any live router replace a primary whose lease has ended`() {
             listOf("a", "b", "c").forEach { log.accept(register(it)) }
             val epoch = log.accept(primary("t1", "a", NO_EPOCH, by = "a"))
-            log.accept(ControlRecord.RouterStopped(RouterId("a")))
+            log.stop("a")
             log.accept(primary("t1", "b", epoch, by = "c"))
         }
     }
@@ -150,7 +160,7 @@
             log.accept(primary("t1", "a", NO_EPOCH, by = "a"))
             val epoch = log.accept(assign(all, "t1"))
             val move = log.accept(ControlRecord.MoveStarted(SERVICE, all, epoch, to = null))
-            log.accept(ControlRecord.RouterStopped(RouterId("a")))
+            log.stop("a")
             log.accept(ControlRecord.RangeReleased(SERVICE, all, move, RouterId("b")))
             expectThat(log.table.rangeOf(SERVICE, "k")).isNull()
         }
--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/TableScript.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/TableScript.kt
@@ -20,6 +20,12 @@
         return table.position
     }
 
+    /** Applies the records of a planned stop. */
+    fun stop(router: String) {
+        accept(ControlRecord.RouterLeaving(RouterId(router)))
+        accept(ControlRecord.RouterStopped(RouterId(router)))
+    }
+
     /** Applies a record that must be void for a reason that contains [reason]. */
     fun reject(record: ControlRecord, reason: String) {
         val before = snapshotOf(table, ConfigState.Empty)
