--- /dev/null
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/PlacementWorld.kt
@@ -0,0 +1,132 @@
+package yuccaflow.control
+
+/** Time between two decisions of a planner. */
+private const val STEP_MS = 250L
+
+/** Time that a primary takes to complete a move. */
+private const val RELEASE_MS = 200L
+
+/** A table, a configuration, and routers that follow their policies' records in fake time. Keys bear constant loads. */
+internal class PlacementWorld(
+    var config: ConfigState,
+    private val settings: PlacementSettings = PlacementSettings(),
+) {
+    private val policies = mutableMapOf<RouterId, PlacementPolicy>()
+    private val endedAtMs = mutableMapOf<RouterId, Long>()
+    private val movesSeenAtMs = mutableMapOf<Long, Long>()
+    val unreachableSinceMs = mutableMapOf<TargetId, Long>()
+    val leavingHosts = mutableSetOf<String>()
+
+    /** Routers whose process is gone although their lease may not have ended. */
+    val deadRouters = mutableSetOf<RouterId>()
+    private var reported: Map<TargetId, TargetLoad> = emptyMap()
+    var rates: Map<String, Double> = emptyMap()
+    var table: ControlTable = emptyControlTable()
+        private set
+    var nowMs = 100_000L
+        private set
+
+    /** Records that took effect, with their time. */
+    val effective = mutableListOf<Pair<Long, ControlRecord>>()
+
+    val ranges: List<RangeEntry> get() = table.ranges(SERVICE)
+
+    fun append(record: ControlRecord): String? {
+        val applied = table.apply(table.position + 1, record)
+        table = applied.table
+        if (applied.voidReason == null) effective += nowMs to record
+        return applied.voidReason
+    }
+
+    fun addRouter(name: String, zone: String) {
+        append(register(name, zone = zone))
+        policies[RouterId(name)] = placementPolicy(settings)
+    }
+
+    /** The process of [name] is gone, and its lease has ended. */
+    fun endRouter(name: String) {
+        append(ControlRecord.RouterLeaving(RouterId(name)))
+        append(ControlRecord.RouterStopped(RouterId(name)))
+        policies -= RouterId(name)
+        endedAtMs[RouterId(name)] = nowMs
+    }
+
+    fun lose(target: String) {
+        unreachableSinceMs[TargetId(target)] = nowMs
+    }
+
+    fun run(durationMs: Long) {
+        val endMs = nowMs + durationMs
+        while (nowMs < endMs) step()
+    }
+
+    fun step() {
+        nowMs += STEP_MS
+        reported = loads()
+        for (router in policies.keys.filter { it !in deadRouters }) decide(router).forEach { append(it) }
+        for (entry in table.services.flatMap { table.ranges(it) }) release(entry)
+    }
+
+    fun decide(router: RouterId): List<ControlRecord> = policies.getValue(router).decide(inputOf(router))
+
+    private fun inputOf(router: RouterId): PlacementInput =
+        PlacementInput(nowMs, router, table, config, reported, unreachableSinceMs, leavingHosts, endedAtMs)
+
+    /** The primary of the owner completes a move. */
+    private fun release(entry: RangeEntry) {
+        val move = entry.move ?: return
+        val primary = table.primaries[entry.owner]?.router ?: return
+        val seenAtMs = movesSeenAtMs.getOrPut(move.epoch) { nowMs }
+        if (primary in deadRouters || !table.isLive(primary) || nowMs - seenAtMs < RELEASE_MS) return
+        append(ControlRecord.RangeReleased(entry.service, entry.range, move.epoch, primary))
+    }
+
+    /** Loads as the primaries report them. */
+    fun loads(): Map<TargetId, TargetLoad> =
+        config.targets.values.associate { target ->
+            val owned =
+                table.ranges(target.service).filter { it.owner == target.id }.map { entry ->
+                    val keys = rates.filterKeys { it in entry.range }.entries.sortedByDescending { it.value }
+                    RangeLoad(entry.range, keys.sumOf { it.value }, keys.take(16).map { HotKey(it.key, it.value) }, median(entry.range))
+                }
+            target.id to
+                TargetLoad(
+                    target = target.id,
+                    service = target.service,
+                    inFlight = 0,
+                    queued = 0,
+                    capacity = target.slots.toDouble(),
+                    serviceTimeMs = 5.0,
+                    requestsPerSecond = owned.sumOf { it.requestsPerSecond },
+                    reachable = target.id !in unreachableSinceMs,
+                    ranges = owned,
+                )
+        }
+
+    private fun median(range: KeyRange): String? {
+        val keys = rates.filterKeys { it in range }.entries.sortedWith { left, right -> compareKeys(left.key, right.key) }
+        var before = 0.0
+        val half = keys.sumOf { it.value } / 2
+        return keys.firstOrNull { (_, rate) -> (before >= half).also { before += rate } }?.key
+    }
+}
+
+/** A configuration with [targets] targets of 5 slots over three zones and a divided service whose ranges start at [starts]. */
+internal fun placementConfig(targets: Int, starts: List<String>): ConfigState =
+    ConfigState.Empty.copy(
+        zones = listOf("brest", "rennes", "vannes").associate { ZoneName(it) to ZoneSpec(ZoneName(it), "breizh") },
+        services = mapOf(SERVICE to ServiceSpec(SERVICE, "/katalog", null, KeyRule.PathSegment(1), setOf("GET"), 500)),
+        targets = (1..targets).map { placementTarget(it) }.associateBy { it.id },
+        ranges = declaredRanges(starts),
+    )
+
+internal fun placementTarget(number: Int): TargetSpec {
+    val zone = listOf("brest", "rennes", "vannes")[number % 3]
+    return TargetSpec(TargetId("t$number"), SERVICE, ZoneName(zone), "t$number", "127.0.0.1:$number", 5, 100, checksFences = true)
+}
+
+internal fun declaredRanges(starts: List<String>): Map<String, RangeSpec> =
+    starts
+        .zip(starts.drop(1) + null)
+        .map { (from, to) -> RangeSpec("from-$from", SERVICE, KeyRange(from, to)) }
+        .associateBy { it.name }
--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/SimRouter.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/SimRouter.kt
@@ -140,7 +140,7 @@
         for (primary in table.primaries.values.filter { it.router == id }) {
             if (orders[primary.target]?.primaryEpoch == primary.epoch) continue
             // The primary before this one may have handed over while its grants stood.
-            orders[primary.target] = Orders(primary.epoch, assumedUntilMs = localMs() + timing.endWaitMs)
+            orders[primary.target] = Orders(primary.epoch, assumedUntilMs = localMs() + timing.leaseMs + timing.driftMarginMs)
         }
     }
 
