--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterLease.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterLease.kt
@@ -77,8 +77,8 @@
         replacedEpoch = table.routers[self]?.epoch
     }
 
-    /** The change announced by [witnessesChanging] is certainly not in the stream; an append with an unknown outcome does not qualify. */
-    fun witnessesUnchanged() {
+    /** The change was certainly not appended, so that the recorded witnesses still count. */
+    fun witnessesKept() {
         replacedEpoch = null
         refresh()
     }
