--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
@@ -6,6 +6,9 @@
 private const val KEYS = 40
 private const val ROUTERS_PER_ZONE = 3
 private const val LIMIT_MS = 3_000L
+private const val TARGET_LOSS = "SIGKILL of a target"
+private const val STATIC_RATE = 200.0
+private const val MS_IN_SECOND = 1_000
 private const val OBSERVE_MS = 10_000L
 private const val RECOVER_MS = 8_000L
 private const val LOG_OUTAGE_MS = 60_000L
@@ -44,6 +47,8 @@
             }
         }
         results.forEach { (name, losses) -> report.loss(name, losses) }
+        val worst = results.getValue(TARGET_LOSS).maxOf { it.touchedMs.maxOrNull() ?: 0 }
+        report.ratio("worst time without service after SIGKILL of a target", worst.toDouble(), staticLoss(cluster, settings, report))
         logOutage(cluster, load, report)
         report.chart("answered share", "second", "share", mapOf("answered" to load.seconds.points { it.answeredShare }))
         val audit = cluster.audit(load)
@@ -93,13 +98,42 @@
     }
     val victim = divided[round % divided.size]
     return Loss(
-        "SIGKILL of a target",
+        TARGET_LOSS,
         victim.names.toSet(),
         lose = { victim.process.kill() },
         restore = { cluster.restartTargets(victim) },
     )
 }
 
+/** Baseline: callers go straight to the target that their keys are assigned to for good, until that target itself is back. */
+private suspend fun staticLoss(cluster: Cluster, settings: ExperimentSettings, report: Report): Double {
+    val plan = cluster.deployment.targets.first { it.service.isDivided && !it.checksFences }
+    val handle = cluster.targets.first { plan.name in it.names }
+    val mix = cluster.deployment.mix(KEYS, zipf = 0.0, only = setOf(plan.service.name))
+    val entries = listOf(cluster.addressOf(plan.name))
+    val load = CallerLoad.start(cluster.group, cluster.ports, LoadPlan(entries, mix, STATIC_RATE, settings.seed, prefix = "static"))
+    delay(WARM_UP_MS)
+    load.reset()
+    handle.process.kill()
+    delay(OBSERVE_MS)
+    cluster.restartTargets(handle)
+    delay(RECOVER_MS)
+    val outages = load
+        .outages()
+        .values
+        .map { it.longestMs }
+        .sorted()
+    load.stop()
+    report.case(
+        "static assignment, target back after ${OBSERVE_MS / MS_IN_SECOND} s",
+        "losses" to 1,
+        "keys_hit" to outages.size,
+        "median_key_ms" to outages[outages.size / 2],
+        "worst_key_ms" to outages.last(),
+    )
+    return outages.last().toDouble()
+}
+
 private suspend fun primaryLoss(cluster: Cluster, round: Int): Loss {
     val primaries = cluster.primaries()
     val victim = cluster.routers.filter { it.status()?.router in primaries.values }.let { it[round % it.size] }
