Probe the entries in the callers stand-in as a load balancer does

Without probes a third of the callers kept sending to a paused router, which a platform's balancer would not do, and the time without service measured the balancer's absence.

--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/CallerLoad.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/CallerLoad.kt
@@ -38,6 +38,8 @@
 /** What a callers process is to do. */
 internal data class LoadPlan(
     val entries: List<SocketAddress>,
+    /** Admin addresses that a load balancer would probe, in the order of the entries; empty for none. */
+    val probes: List<SocketAddress> = emptyList(),
     val mix: List<MixFileEntry>,
     val rate: Double,
     val seed: Long,
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Cluster.kt
@@ -67,8 +67,12 @@
     lateinit var targets: List<TargetsHandle>
         private set
 
+    /** Load through the relays of the callers, with the probes of a load balancer. */
+    fun load(mix: List<MixFileEntry>, rate: Double, seed: Long = options.seed): LoadPlan =
+        LoadPlan(entries, routerPlans.map { it.admin }, mix, rate, seed, optimize = options.measured)
+
     /** Addresses that callers use, one for each router. */
-    val entries: List<SocketAddress> get() = routerPlans.map { it.entry }
+    private val entries: List<SocketAddress> get() = routerPlans.map { it.entry }
 
     fun addressOf(target: String): SocketAddress = targetAddresses.getValue(target)
 
--- a/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/CallersStandin.kt
+++ b/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/CallersStandin.kt
@@ -30,6 +30,8 @@
 /** Settings of the callers. */
 internal class CallerSettings(
     val entries: List<SocketAddress>,
+    /** Address whose `/ready` tells whether the entry gets requests, in the order of the entries; may be empty. */
+    val probes: List<SocketAddress>,
     val mix: List<MixEntry>,
     val rate: Double,
     val seconds: Int,
@@ -46,6 +48,9 @@
 
 /** The rate rises to its full value over this time, since a cold JVM would otherwise queue its first second of requests. */
 private const val RAMP_NANOS = 2e9
+private const val PROBE_INTERVAL_MS = 250L
+private const val PROBE_TIMEOUT_MS = 250L
+private const val PROBE_FAILURES = 2
 private const val IDLE_POLL_NANOS = 10_000_000L
 private const val FIRST_SHARE = 0.05
 private const val NANOS_PER_SECOND = 1e9
@@ -61,6 +66,7 @@
     private val results = CallerResults(settings.prefix)
     private val client: HttpClient = httpClient(HttpClientSettings(connectionsPerAddress = CONNECTIONS))
     private val restingUntilMs = ConcurrentHashMap<SocketAddress, Long>()
+    private val unready: MutableSet<SocketAddress> = ConcurrentHashMap.newKeySet()
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed)
     private val mix = CallerMix(settings.mix, random)
 
@@ -76,8 +82,24 @@
         }
     }
 
+    /** Probes the entries as a load balancer does; one that fails twice in a row gets no requests until it is ready again. */
+    private suspend fun probe(entry: SocketAddress, probe: SocketAddress) {
+        var failures = 0
+        while (true) {
+            val result = client.send(probe, HttpRequest("GET", "/ready"), PROBE_TIMEOUT_MS)
+            failures = if ((result as? HttpResult.Answered)?.response?.status == OK) 0 else failures + 1
+            if (failures >= PROBE_FAILURES) {
+                unready += entry
+            } else if (failures == 0) {
+                unready -= entry
+            }
+            delay(PROBE_INTERVAL_MS)
+        }
+    }
+
     /** Starts the load and the line of results for each second. */
     fun start(scope: CoroutineScope) {
+        settings.entries.zip(settings.probes).forEach { (entry, probe) -> scope.launch { probe(entry, probe) } }
         Thread({ offer(scope) }, "callers").apply { isDaemon = true }.start()
         scope.launch {
             var second = 0L
@@ -114,7 +136,9 @@
 
     private fun pickEntry(): SocketAddress {
         val nowMs = System.nanoTime() / NANOS_PER_MS
-        val awake = settings.entries.filter { (restingUntilMs[it] ?: Long.MIN_VALUE) <= nowMs }.ifEmpty { settings.entries }
+        val awake = settings.entries
+            .filter { it !in unready && (restingUntilMs[it] ?: Long.MIN_VALUE) <= nowMs }
+            .ifEmpty { settings.entries }
         return awake[random.nextInt(awake.size)]
     }
 
--- a/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/Main.kt
+++ b/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/Main.kt
@@ -80,6 +80,7 @@
 private class CallersCommand : Subcommand("callers", "Open-loop load") {
     private val control by option(ArgType.String, description = "IP:PORT of the switches").required()
     private val entries by option(ArgType.String, description = "IP:PORT,IP:PORT of the routers").required()
+    private val probes by option(ArgType.String, description = "IP:PORT,IP:PORT whose /ready is asked for each entry").default("")
     private val mix by option(ArgType.String, description = "File with a JSON list of request kinds").required()
     private val rate by option(ArgType.Double, description = "Requests per second").default(DEFAULT_RATE)
     private val seconds by option(ArgType.Int, description = "Duration, 0 for endless").default(0)
@@ -90,6 +91,7 @@
     override fun execute(): Unit = runBlocking {
         val settings = CallerSettings(
             entries = entries.split(',').map { addressOf(it.trim()) },
+            probes = probes.split(',').filter { it.isNotBlank() }.map { addressOf(it.trim()) },
             mix = StandinJson.decodeFromString(File(mix).readText()),
             rate = rate,
             seconds = seconds,
