--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
@@ -8,6 +8,7 @@
 private const val KEYS = 1_000
 private const val SETTLE_OWNERS_MS = 25_000L
 private const val KEY_SPACE = 100_000
+private const val KEY_DIGITS = 5
 private const val SAMPLE_STEP = 10
 
 /** Share of keys that change owner in a loss, a return and a zone drill, against a hash taken modulo the number of targets. */
@@ -43,11 +44,11 @@
     val rehashed = samples().count { before[hash(it) % before.size] != after[hash(it) % after.size] }.toDouble() / old.size
     val lost = before - after.toSet()
     val least = if (lost.isEmpty()) 0.0 else old.count { it in lost }.toDouble() / old.size
-    case(name, "share_moved" to moved, "least_possible" to least, "full_rehash" to rehashed)
+    case(name, mapOf("share_moved" to moved, "least_possible" to least, "full_rehash" to rehashed))
     ratio("keys moved, $name", moved, rehashed)
 }
 
-private fun samples(): List<String> = (0 until KEY_SPACE step SAMPLE_STEP).map { it.toString().padStart(5, '0') }
+private fun samples(): List<String> = (0 until KEY_SPACE step SAMPLE_STEP).map { it.toString().padStart(KEY_DIGITS, '0') }
 
 private fun hash(key: String): Int = (CRC32().apply { update(key.encodeToByteArray()) }.value % Int.MAX_VALUE).toInt()
 
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ColdStart.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ColdStart.kt
@@ -20,7 +20,7 @@
         val routed = coldStart(cluster, settings, "routed", cluster.routers.map { it.plan.caller })
         val direct = coldStart(cluster, settings, "random", deployment.targets.map { cluster.addressOf(it.name) })
         listOf(routed, direct).forEach {
-            report.case(it.name, "sheds" to it.sheds, "seconds_to_full_use" to it.secondsToFull, *it.total.values())
+            report.case(it.name, mapOf("sheds" to it.sheds, "seconds_to_full_use" to it.secondsToFull) + it.total.values())
         }
         report.ratio("sheds of cold targets", routed.sheds.toDouble(), direct.sheds.toDouble())
         val runs = listOf(routed, direct).associateBy { it.name }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Demo.kt
@@ -43,20 +43,11 @@
     val audit = cluster.audit(load)
     val moves = (cluster.metric(MOVES_METRIC) - movesBefore).toLong()
     val outages = load.outages()
-    val table = Table("service", "requests", "answered", "not run", "unknown", "failed", "p50 ms", "p99 ms", "unavailable ms")
+    val table = Table(listOf("service", "requests", "answered", "not run", "unknown", "failed", "p50 ms", "p99 ms", "unavailable ms"))
     load.results().toSortedMap().forEach { (service, result) ->
         val longest = outages.filterKeys { service == "all" || it.startsWith("$service/") }.values.maxOfOrNull { it.longestMs } ?: 0
-        table.row(
-            service,
-            result.sent,
-            result.answered,
-            result.notRun,
-            result.unknown,
-            result.failed,
-            result.p50Ms,
-            result.p99Ms,
-            longest,
-        )
+        val counts = with(result) { listOf(sent, answered, notRun, unknown, failed, p50Ms, p99Ms) }
+        table.row(listOf(service) + counts + longest)
     }
     println(table)
     val reasons = load.reasons()
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Drill.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Drill.kt
@@ -27,9 +27,17 @@
     }
     listOf(planned, unplanned).forEach { run ->
         val worst = run.seconds.minOf { it.answeredShare }
-        report.case(run.name, *run.total.values(), "lowest_share" to worst, "worst_second_p99_ms" to run.seconds.maxOf { it.p99Ms })
+        val worstSeconds = mapOf("lowest_share" to worst, "worst_second_p99_ms" to run.seconds.maxOf { it.p99Ms })
+        report.case(run.name, run.total.values() + worstSeconds)
     }
-    report.case("audit of marked", "lost" to planned.audit.lost, "doubled" to planned.audit.doubled, "overlaps" to planned.audit.overlaps)
+    report.case(
+        "audit of marked",
+        mapOf(
+            "lost" to planned.audit.lost,
+            "doubled" to planned.audit.doubled,
+            "overlaps" to planned.audit.overlaps,
+        ),
+    )
     report.ratio("requests without an answer", planned.total.missing(), unplanned.total.missing())
     report.ratio("p99", planned.total.p99Ms, unplanned.total.p99Ms)
     report.verdict("marked drill: ${planned.audit}, expected nothing lost or doubled", planned.audit.isClean)
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Imbalance.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Imbalance.kt
@@ -28,11 +28,13 @@
             val hottest = hottestShare(zipf) * service.targets
             report.case(
                 name,
-                "at_start" to first,
-                "after_60_s" to last,
-                "static_ranges" to static,
-                "hottest_key" to hottest,
-                "moves" to cluster.metric("yuccaflow_moves_total").toLong(),
+                mapOf(
+                    "at_start" to first,
+                    "after_60_s" to last,
+                    "static_ranges" to static,
+                    "hottest_key" to hottest,
+                    "moves" to cluster.metric("yuccaflow_moves_total").toLong(),
+                ),
             )
             report.ratio("imbalance with $name keys", last, static)
             // A key that alone exceeds the bound cannot be divided, so it sets the bound then.
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Overhead.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Overhead.kt
@@ -29,13 +29,10 @@
             phase(cluster, LoadPlan(routers, mix = mix, rate = RATE, seed = settings.seed, prefix = "routed", optimize = true), settings)
         val cpuMs = cluster.routerCpuMs() - cpuBefore
         val requests = routed.requests
-        report.case("direct", *direct.total.values())
-        report.case("routed", *routed.total.values(), "requests per cpu second" to requests * MS_PER_SECOND / maxOf(1L, cpuMs))
-        report.case(
-            "added by two hops",
-            "p50_ms" to routed.total.p50Ms - direct.total.p50Ms,
-            "p99_ms" to routed.total.p99Ms - direct.total.p99Ms,
-        )
+        report.case("direct", direct.total.values())
+        report.case("routed", routed.total.values() + ("requests_per_cpu_second" to requests * MS_PER_SECOND / maxOf(1L, cpuMs)))
+        val added = mapOf("p50_ms" to routed.total.p50Ms - direct.total.p50Ms, "p99_ms" to routed.total.p99Ms - direct.total.p99Ms)
+        report.case("added by two hops", added)
         report.ratio("p50", routed.total.p50Ms, direct.total.p50Ms)
         report.ratio("p99", routed.total.p99Ms, direct.total.p99Ms)
         val seconds = mapOf("direct" to direct.seconds, "routed" to routed.seconds)
@@ -62,7 +59,7 @@
 private const val MS_PER_SECOND = 1_000.0
 
 /** The usual columns of a load. */
-internal fun LoadResult.values(): Array<Pair<String, Number?>> = arrayOf(
+internal fun LoadResult.values(): Map<String, Number?> = mapOf(
     "requests" to sent,
     "answered" to answered,
     "not_run" to notRun,
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Report.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Report.kt
@@ -17,10 +17,10 @@
     private val verdicts = mutableListOf<Boolean>()
 
     /** Adds the measured values of one case. */
-    fun case(name: String, vararg values: Pair<String, Number?>) {
-        cases += name to values.toMap()
+    fun case(name: String, values: Map<String, Number?>) {
+        cases += name to values
         val fields = mapOf("experiment" to JsonPrimitive(experiment), "seed" to JsonPrimitive(seed), "case" to JsonPrimitive(name))
-        println(JsonObject(fields + values.associate { (key, value) -> key to JsonPrimitive(value) }))
+        println(JsonObject(fields + values.mapValues { JsonPrimitive(it.value) }))
     }
 
     /** Prints the ratio of two values. */
@@ -38,8 +38,8 @@
     /** Prints the table and returns true when every target was met. */
     fun finish(): Boolean {
         val columns = cases.flatMap { it.second.keys }.distinct()
-        val table = Table("case", *columns.toTypedArray())
-        cases.forEach { (name, values) -> table.row(name, *columns.map { values[it] }.toTypedArray()) }
+        val table = Table(listOf("case") + columns)
+        cases.forEach { (name, values) -> table.row(listOf(name) + columns.map { values[it] }) }
         println(table)
         return verdicts.all { it }
     }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Slopes.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Slopes.kt
@@ -9,6 +9,11 @@
 private const val MS_PER_SECOND = 1_000.0
 private const val PERCENT = 100.0
 
+/** Three sizes or more of each dimension, so that a slope and its fit can be told. */
+private val FACTORS = listOf(1, 2, 3)
+private val RANGE_COUNTS = listOf(20, 40, 80)
+private val REQUEST_RATES = listOf(200, 400, 800)
+
 private class Point(
     val dimension: String,
     val size: Int,
@@ -20,30 +25,34 @@
 /** Cost of one router with the number of routers, ranges, targets and requests varied one at a time. */
 internal suspend fun measureSlopes(settings: ExperimentSettings, report: Report): Boolean {
     val base = settings.deployment
-    val points = listOf(1, 2, 3).map { Point("routers", it * base.zones.size, base, it, RATE) } +
-        listOf(20, 40, 80).map { Point("ranges", it, base.withDivided { service -> service.copy(ranges = it) }, 1, RATE) } +
-        listOf(1, 2, 3).map { factor ->
+    val points = FACTORS.map { Point("routers", it * base.zones.size, base, it, RATE) } +
+        RANGE_COUNTS.map { Point("ranges", it, base.withDivided { service -> service.copy(ranges = it) }, 1, RATE) } +
+        FACTORS.map { factor ->
             val larger = base.copy(services = base.services.map { it.copy(targets = it.targets * factor) })
             Point("targets", larger.targets.size, larger, 1, RATE)
         } +
-        listOf(200, 400, 800).map { Point("requests/s", it, base, 1, it.toDouble()) }
+        REQUEST_RATES.map { Point("requests/s", it, base, 1, it.toDouble()) }
     val costs = points.groupBy({ it.dimension }) { it.size to cost(it, settings, report) }
-    costs.forEach { (dimension, measured) ->
-        listOf<Pair<String, (RouterCost) -> Double>>(
-            "cpu_percent" to { it.cpuPercent },
-            "memory_mb" to { it.memoryMb },
-            "kb_per_s" to { it.kbPerSecond },
-            "records_per_s" to { it.recordsPerSecond },
-        ).forEach { (name, value) ->
-            val line = SimpleRegression().apply { measured.forEach { addData(it.first.toDouble(), value(it.second)) } }
-            println("slope of $name over $dimension: %.5f, at zero %.3f, R2 %.2f".format(line.slope, line.intercept, line.rSquare))
-        }
-        val series = mapOf("cpu percent" to measured.map { it.first.toDouble() to it.second.cpuPercent })
-        report.chart("processor time over $dimension", dimension, "percent of a core", series)
-    }
+    costs.forEach { (dimension, measured) -> slopes(dimension, measured, report) }
     return report.finish()
 }
 
+private fun slopes(dimension: String, measured: List<Pair<Int, RouterCost>>, report: Report) {
+    val values: Map<String, (RouterCost) -> Double> = mapOf(
+        "cpu_percent" to { it.cpuPercent },
+        "memory_mb" to { it.memoryMb },
+        "kb_per_s" to { it.kbPerSecond },
+        "records_per_s" to { it.recordsPerSecond },
+    )
+    values.forEach { (name, value) ->
+        val line = SimpleRegression()
+        measured.forEach { (size, cost) -> line.addData(size.toDouble(), value(cost)) }
+        println("slope of $name over $dimension: %.5f, at zero %.3f, R2 %.2f".format(line.slope, line.intercept, line.rSquare))
+    }
+    val series = mapOf("cpu percent" to measured.map { it.first.toDouble() to it.second.cpuPercent })
+    report.chart("processor time over $dimension", dimension, "percent of a core", series)
+}
+
 private class RouterCost(
     val cpuPercent: Double,
     val memoryMb: Double,
@@ -73,10 +82,12 @@
         )
         report.case(
             "${point.dimension} ${point.size}",
-            "cpu_percent" to cost.cpuPercent,
-            "memory_mb" to cost.memoryMb,
-            "kb_per_s" to cost.kbPerSecond,
-            "records_per_s" to cost.recordsPerSecond,
+            mapOf(
+                "cpu_percent" to cost.cpuPercent,
+                "memory_mb" to cost.memoryMb,
+                "kb_per_s" to cost.kbPerSecond,
+                "records_per_s" to cost.recordsPerSecond,
+            ),
         )
         cost
     }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Stragglers.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Stragglers.kt
@@ -28,7 +28,7 @@
         val calmDirect = straggle(cluster, settings, "random, no stragglers", targets, emptyList())
         val direct = straggle(cluster, settings, "random, stragglers", targets, stragglers)
         val runs = listOf(calm, routed, calmDirect, direct)
-        runs.forEach { report.case(it.name, *it.total.values(), "extra_share" to it.extraShare) }
+        runs.forEach { report.case(it.name, it.total.values() + ("extra_share" to it.extraShare)) }
         report.ratio("p99 with stragglers", routed.total.p99Ms, direct.total.p99Ms)
         report.ratio("p99.9 with stragglers", routed.total.p999Ms, direct.total.p999Ms)
         val factor = routed.total.p99Ms / calm.total.p99Ms
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Table.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Table.kt
@@ -2,17 +2,17 @@
 
 /** A table for the terminal: columns as wide as their longest cell, numbers to the right. */
 internal class Table(
-    private vararg val columns: String,
+    private val columns: List<String>,
 ) {
     private val rows = mutableListOf<List<String>>()
 
-    fun row(vararg cells: Any?) {
+    fun row(cells: List<Any?>) {
         rows += cells.map { cell -> if (cell is Double) "%.2f".format(cell) else cell?.toString() ?: "-" }
     }
 
     override fun toString(): String {
         val widths = columns.indices.map { index -> (rows.map { it[index].length } + columns[index].length).max() }
-        return (listOf(columns.toList()) + rows).joinToString("\n") { cells ->
+        return (listOf(columns) + rows).joinToString("\n") { cells ->
             cells.mapIndexed { index, cell -> if (index == 0) cell.padEnd(widths[0]) else cell.padStart(widths[index]) }.joinToString("  ")
         }
     }
--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Unavailable.kt
@@ -78,12 +78,14 @@
     val touched = losses.flatMap { it.touchedMs }.sorted()
     case(
         name,
-        "losses" to losses.size,
-        "keys_hit" to touched.size,
-        "median_key_ms" to (touched.getOrNull(touched.size / 2) ?: 0),
-        "worst_key_ms" to (worst.maxOrNull() ?: 0),
-        "other_keys_hit" to untouched.size,
-        "other_worst_ms" to (untouched.maxOrNull() ?: 0),
+        mapOf(
+            "losses" to losses.size,
+            "keys_hit" to touched.size,
+            "median_key_ms" to (touched.getOrNull(touched.size / 2) ?: 0),
+            "worst_key_ms" to (worst.maxOrNull() ?: 0),
+            "other_keys_hit" to untouched.size,
+            "other_worst_ms" to (untouched.maxOrNull() ?: 0),
+        ),
     )
     val within = worst.count { it <= LIMIT_MS }
     verdict("$name: $within of ${losses.size} losses within $LIMIT_MS ms", within * 100 >= losses.size * PERCENT_WITHIN)
@@ -130,10 +132,12 @@
     load.stop()
     report.case(
         "static assignment, target back after ${OBSERVE_MS / MS_IN_SECOND} s",
-        "losses" to 1,
-        "keys_hit" to outages.size,
-        "median_key_ms" to outages[outages.size / 2],
-        "worst_key_ms" to outages.last(),
+        mapOf(
+            "losses" to 1,
+            "keys_hit" to outages.size,
+            "median_key_ms" to outages[outages.size / 2],
+            "worst_key_ms" to outages.last(),
+        ),
     )
     return outages.last().toDouble()
 }
@@ -173,6 +177,7 @@
     val outages = load.outages()
     cluster.switchLog("\"down\":false")
     val worst = outages.values.maxOfOrNull { it.longestMs } ?: 0
-    report.case("log down for 60 s", "losses" to 1, "other_keys_hit" to outages.size, "other_worst_ms" to worst, *result.values())
+    val hit = mapOf("losses" to 1, "other_keys_hit" to outages.size, "other_worst_ms" to worst)
+    report.case("log down for 60 s", hit + result.values())
     report.verdict("log down for 60 s: ${outages.size} keys without service at some time, expected 0", outages.isEmpty())
 }
