--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RouterRules.kt
@@ -7,7 +7,7 @@
     if (record.router in routers) return Change.Void("router ${record.router} is already registered")
     witnessFault(record.router, record.witnesses)?.let { return Change.Void(it) }
     return Change.Effective(
-        withRouter(
+        withSuccessor(offset, record).withRouter(
             RouterEntry(
                 id = record.router,
                 zone = record.zone,
@@ -24,6 +24,19 @@
     )
 }
 
+/**
+ * A router that registers at the host and address of an earlier one proves that the earlier process is gone, since only one process can
+ * listen there. It suspects it, and counts as every witness's reading, so that the lease ends even when all witnesses were lost as well,
+ * as after a restart of all routers at once. The wait before the end still stands, because grants may not have expired yet.
+ */
+private fun PersistentControlTable.withSuccessor(offset: Long, record: ControlRecord.RouterRegistered): PersistentControlTable =
+    routers.values
+        .filter { it.stage != RouterStage.ENDED && it.host == record.host && it.peerAddress == record.peerAddress }
+        .fold(this) { table, earlier ->
+            val suspicion = Suspicion(earlier.suspicion?.offset ?: offset, record.router, earlier.witnesses.toSet())
+            table.withRouter(earlier.copy(suspicion = suspicion))
+        }
+
 internal fun PersistentControlTable.leave(record: ControlRecord.RouterLeaving): Change {
     val entry = liveRouter(record.router) ?: return notLive(record.router)
     if (entry.stage == RouterStage.LEAVING) return Change.Void("router ${entry.id} is already leaving")
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.Logger
 import yuccaflow.control.ControlRecord
 import yuccaflow.control.PlacementInput
 import yuccaflow.control.PlacementPolicy
@@ -35,10 +36,19 @@
         launch { parts.membership.state().collect { wake() } }
         while (true) {
             wake.receive()
-            if (mayPlan()) append(policy.decide(input()))
+            if (mayPlan()) append(decide())
         }
     }
 
+    /** A fault of the policy must not stop the grants, which run beside this loop. */
+    private fun decide(): List<ControlRecord> =
+        try {
+            policy.decide(input())
+        } catch (failure: RuntimeException) {
+            Logger.error(failure, "the placement policy failed")
+            emptyList()
+        }
+
     private fun mayPlan(): Boolean {
         val self = parts.table.routers[parts.membership.routerId]
         return self?.stage == RouterStage.LIVE && parts.membership.leaseValidUntilMs() > parts.timer.nowMs()
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 import yuccaflow.control.ControlRecord
 import yuccaflow.control.RouterId
@@ -22,21 +21,34 @@
     }
 
     private suspend fun handOver(keeper: TargetKeeper) {
-        if (successor(keeper) == null) return
-        keeper.isHandingOver = true
-        parts.running().awaitNoneRunning(keeper.target)
         while (isPrimary(keeper)) {
-            val next = successor(keeper) ?: break
-            val self = parts.membership.routerId
-            val result = parts.membership.append(ControlRecord.PrimaryAssigned(keeper.target, next, keeper.primaryEpoch, self))
-            if (result is AppendResult.Appended) {
-                withTimeoutOrNull(READ_TIMEOUT_MS) { parts.membership.state().first { it.table.position >= result.offset } }
-            }
-            if (isPrimary(keeper)) parts.timer.sleep(REPEAT_PAUSE_MS)
+            val next = successor(keeper) ?: return
+            keeper.isHandingOver = true
+            parts.running().awaitNoneRunning(keeper.target)
+            appendUntilKnown(keeper, next)
+            if (!isPrimary(keeper)) break
+            // The log cannot be reached. Serving on is better than refusing until it can.
+            keeper.isHandingOver = false
+            parts.timer.sleep(RETRY_PAUSE_MS)
         }
         Logger.info("target {} handed over to {}", keeper.target, parts.table.primaries[keeper.target]?.router)
     }
 
+    /** Repeats the append while its outcome is unknown: this router may already have been replaced and must not send. */
+    private suspend fun appendUntilKnown(keeper: TargetKeeper, next: RouterId) {
+        val record = ControlRecord.PrimaryAssigned(keeper.target, next, keeper.primaryEpoch, parts.membership.routerId)
+        while (isPrimary(keeper)) {
+            when (val result = parts.membership.append(record)) {
+                is AppendResult.Appended -> {
+                    parts.membership.state().first { it.table.position >= result.offset }
+                    return
+                }
+                is AppendResult.NotAppended -> return
+                is AppendResult.AppendUnknown -> parts.timer.sleep(REPEAT_PAUSE_MS)
+            }
+        }
+    }
+
     private fun isPrimary(keeper: TargetKeeper): Boolean {
         val entry = parts.table.primaries[keeper.target] ?: return false
         return entry.router == parts.membership.routerId && entry.epoch == keeper.primaryEpoch
@@ -51,7 +63,7 @@
     }
 
     private companion object {
-        const val READ_TIMEOUT_MS = 1_000L
         const val REPEAT_PAUSE_MS = 100L
+        const val RETRY_PAUSE_MS = 500L
     }
 }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeLog.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeLog.kt
@@ -30,8 +30,11 @@
     /** No call is answered while this is set. */
     var isDown = false
 
-    /** Whether the answer to an append of this record is lost although the record is written. */
-    var losesAnswer: (ControlRecord?) -> Boolean = { false }
+    /** Whether the answer to the next append is lost although the record is written. */
+    var losesAnswer: () -> Boolean = { false }
+
+    /** Whether the next append is lost on its way. */
+    var losesRequest: () -> Boolean = { false }
 
     /** The log as a router reaches it that is cut off from it while [isCut]. */
     fun view(isCut: () -> Boolean): LogService = object : LogService {
@@ -41,10 +44,10 @@
                 delay(FAILURE_MS)
                 return AppendResult.NotAppended("down")
             }
+            if (losesRequest()) return AppendResult.AppendUnknown("lost request")
             val offset = add(stream, data)
             delay(LATENCY_MS)
-            val decoded = if (stream == Streams.CONTROL) decodeControlRecord(data) else null
-            return if (losesAnswer(decoded)) AppendResult.AppendUnknown("lost answer") else AppendResult.Appended(offset)
+            return if (losesAnswer()) AppendResult.AppendUnknown("lost answer") else AppendResult.Appended(offset)
         }
 
         override suspend fun read(stream: String, fromOffset: Long, maxRecords: Int, waitMs: Long): ReadResult {
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeRouter.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeRouter.kt
@@ -31,11 +31,12 @@
     fun start(count: Int): List<FakeRouter> = (0 until count).map { FakeRouter(this, it).also { router -> router.start() } }
 }
 
-/** One router's membership on fakes. Its id is the host's name and the number of its life. */
+/** One router's membership on fakes. Its id is the host's name with the numbers of the process and of its life. */
 class FakeRouter(
     val world: FakeWorld,
     val index: Int,
     timing: TimingSettings = TimingSettings(),
+    private val process: Int = 0,
 ) {
     val host = "host-%02d".format(index)
     val zone = "zone-${"abc"[index % ZONES]}"
@@ -53,7 +54,7 @@
         world.timer,
         registry,
         Random(index),
-    ) { RouterId("$host-${++lives}") }
+    ) { RouterId("$host-$process-${++lives}") }
 
     val id: RouterId get() = membership.routerId
     val hasLease: Boolean get() = membership.leaseValidUntilMs() > world.timer.nowMs()
