--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Churn.kt
@@ -8,6 +8,7 @@
 private const val KEYS = 1_000
 private const val SETTLE_OWNERS_MS = 25_000L
 private const val KEY_SPACE = 100_000
+private const val KEY_DIGITS = 5
 private const val SAMPLE_STEP = 10
 
 /** Share of keys that change owner in a loss, a return and a zone drill, against a hash taken modulo the number of targets. */
@@ -17,7 +18,7 @@
     val options = ClusterOptions(ROUTERS_PER_ZONE, measured = true, TargetProcesses.PER_TARGET, seed = settings.seed)
     withCluster(deployment, options) { cluster ->
         val mix = deployment.mix(KEYS, zipf = 0.0)
-        CallerLoad.start(cluster.group, cluster.ports, LoadPlan(cluster.entries, mix, RATE, settings.seed, optimize = true))
+        CallerLoad.start(cluster.group, cluster.ports, cluster.load(mix, RATE))
         delay(SETTLE_OWNERS_MS)
         val all = deployment.targets.map { it.name }
         val victim = cluster.targets.first()
@@ -43,11 +44,11 @@
     val rehashed = samples().count { before[hash(it) % before.size] != after[hash(it) % after.size] }.toDouble() / old.size
     val lost = before - after.toSet()
     val least = if (lost.isEmpty()) 0.0 else old.count { it in lost }.toDouble() / old.size
-    case(name, "share_moved" to moved, "least_possible" to least, "full_rehash" to rehashed)
+    case(name, mapOf("share_moved" to moved, "least_possible" to least, "full_rehash" to rehashed))
     ratio("keys moved, $name", moved, rehashed)
 }
 
-private fun samples(): List<String> = (0 until KEY_SPACE step SAMPLE_STEP).map { it.toString().padStart(5, '0') }
+private fun samples(): List<String> = (0 until KEY_SPACE step SAMPLE_STEP).map { it.toString().padStart(KEY_DIGITS, '0') }
 
 private fun hash(key: String): Int = (CRC32().apply { update(key.encodeToByteArray()) }.value % Int.MAX_VALUE).toInt()
 
--- a/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/YuccactlTest.kt
+++ b/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/YuccactlTest.kt
@@ -175,7 +175,10 @@
         fun `does not wait for a router whose lease has ended`() {
             router("r-1", 1)
             router("r-2", 0)
-            timer.onSleep = { log.put(ControlRecord.RouterStopped(RouterId("r-2"))) }
+            timer.onSleep = {
+                log.put(ControlRecord.RouterLeaving(RouterId("r-2")))
+                log.put(ControlRecord.RouterStopped(RouterId("r-2")))
+            }
             expectThat(publish()).isEqualTo(ExitStatus.DONE)
         }
 
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
@@ -86,10 +86,10 @@
 
     private fun isSilent(nowMs: Long, table: ControlTable, entry: RouterEntry): Boolean {
         val watch = watches[entry.id] ?: return false
-        val spreadMs = (unitHash(self.value, entry.id.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs).toLong()
         // A router without a live witness sends no heartbeats; if it lives, it names new witnesses within this time.
         val silenceMs = if (entry.witnesses.none { table.isLive(it) }) MAX_SUSPECT_AFTER_MS else watch.suspectAfterMs
-        return nowMs - watch.heardAtMs >= silenceMs + spreadMs
+        val overdueMs = nowMs - watch.heardAtMs - silenceMs
+        return overdueMs >= 0 && overdueMs >= unitHash(self.value, entry.id.value, watch.heardAtMs.toString()) * timing.suspectSpreadMs
     }
 
     private fun mayEnd(nowMs: Long, table: ControlTable, entry: RouterEntry, suspicion: Suspicion): Boolean {
