--- /dev/null
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/FakeTargets.kt
@@ -0,0 +1,106 @@
+package yuccaflow.router
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaflow.control.TargetSpec
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResponse
+import yuccaflow.http.SocketAddress
+import yuccaflow.platform.GrantOrder
+import yuccaflow.platform.GrantedRange
+import yuccaflow.platform.OrderResult
+import yuccaflow.platform.TargetClock
+import yuccaflow.platform.TargetOrders
+import yuccaflow.platform.TimerService
+import yuccaflow.platform.WorkLimits
+import yuccaflow.platform.WorkResult
+
+/** What happens to a request at a target. */
+internal enum class TargetFault { NONE, NOT_SENT, SHED, ANSWER_LOST, REQUEST_LOST }
+
+/** A target in memory. */
+internal class FakeTarget(
+    slots: Int,
+) {
+    /** Requests that it bears at once, given the number that it has answered. */
+    var bears: (answered: Int) -> Int = { slots }
+    var serviceMs: () -> Long = { 10 }
+    var onWork: (HttpRequest) -> TargetFault = { TargetFault.NONE }
+    var running = 0
+    var peak = 0
+    var shed = 0
+    var answered = 0
+    val runs = mutableListOf<String>()
+    val cancelled = mutableListOf<String>()
+    var lastEndMs = 0L
+}
+
+/** All targets, in virtual time. A target runs a request on when the sender has given up, but not past its run-before. */
+internal class FakeTargets(
+    private val timer: TimerService,
+    private val scope: CoroutineScope,
+) : TargetOrders {
+    private val targets = HashMap<SocketAddress, FakeTarget>()
+
+    fun add(address: SocketAddress, slots: Int) = FakeTarget(slots).also { targets[address] = it }
+
+    fun clockOf(spec: TargetSpec): TargetClock = TargetClock("instance of ${spec.id}", timer.nowMs(), timer.nowMs())
+
+    override suspend fun work(address: SocketAddress, request: HttpRequest, limits: WorkLimits): WorkResult {
+        val target = targets.getValue(address)
+        val clock = TargetClock("instance", timer.nowMs(), timer.nowMs())
+        when (target.onWork(request)) {
+            TargetFault.NOT_SENT -> return WorkResult.NotRun("connection refused", shed = false, clock = null)
+
+            TargetFault.SHED -> return shed(target, clock)
+
+            TargetFault.REQUEST_LOST -> {
+                delay(limits.timeoutMs)
+                return WorkResult.Unknown("no answer")
+            }
+
+            TargetFault.ANSWER_LOST -> {
+                scope.launch { run(target, limits) }
+                delay(limits.timeoutMs)
+                return WorkResult.Unknown("no answer")
+            }
+
+            TargetFault.NONE -> Unit
+        }
+        if (target.running >= target.bears(target.answered)) return shed(target, clock)
+        val done = CompletableDeferred<Boolean>()
+        scope.launch { done.complete(run(target, limits)) }
+        return when (withTimeoutOrNull(limits.timeoutMs) { done.await() }) {
+            true -> WorkResult.Answered(HttpResponse(200, body = limits.requestId.encodeToByteArray()), clock)
+            else -> WorkResult.Unknown("no answer")
+        }
+    }
+
+    private fun shed(target: FakeTarget, clock: TargetClock): WorkResult {
+        target.shed++
+        return WorkResult.NotRun("full", shed = true, clock = clock)
+    }
+
+    private suspend fun run(target: FakeTarget, limits: WorkLimits): Boolean {
+        target.running++
+        target.peak = maxOf(target.peak, target.running)
+        target.runs += limits.requestId
+        val finished = withTimeoutOrNull((limits.runBeforeClockMs ?: Long.MAX_VALUE) - timer.nowMs()) { delay(target.serviceMs()) } != null
+        target.running--
+        target.lastEndMs = timer.nowMs()
+        if (finished) target.answered++
+        return finished
+    }
+
+    override suspend fun cancel(address: SocketAddress, requestId: String) {
+        targets.getValue(address).cancelled += requestId
+    }
+
+    override suspend fun grant(address: SocketAddress, order: GrantOrder, timeoutMs: Long): OrderResult = OrderResult.NoAnswer("unused")
+
+    override suspend fun revoke(address: SocketAddress, ranges: List<GrantedRange>, timeoutMs: Long): OrderResult =
+        OrderResult.NoAnswer("unused")
+}
