--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import yuccaflow.control.KeyRange
+import yuccaflow.control.RangeLoad
 import yuccaflow.control.ServiceName
 import yuccaflow.control.ServiceSpec
 import yuccaflow.control.TargetId
@@ -72,7 +73,7 @@
         try {
             val outcome = run(Job(request, target, lane, deadlineOf(request, service), span.traceparent))
             span.tag("outcome", nameOf(outcome))
-            return ForwardAnswer(outcome, loadOf(lane, ranges = emptyList()))
+            return ForwardAnswer(outcome, loadOf(lane))
         } finally {
             span.end()
         }
@@ -91,7 +92,7 @@
         val oldestMs = timer.nowMs() - RECENT_MS
         return lanes.values.filter { it.usedMs >= oldestMs }.map { entry ->
             val ranges = table.ranges(entry.lane.service).filter { it.owner == entry.lane.target }.map { it.range }
-            loadOf(entry.lane, ranges)
+            loadOf(entry.lane, entry.lane.rates.report(ranges))
         }
     }
 
@@ -248,7 +249,7 @@
         return lane
     }
 
-    private fun loadOf(lane: TargetLane, ranges: List<KeyRange>) =
+    private fun loadOf(lane: TargetLane, ranges: List<RangeLoad> = emptyList()) =
         TargetLoad(
             target = lane.target,
             service = lane.service,
@@ -258,7 +259,7 @@
             serviceTimeMs = lane.serviceTimeMs,
             requestsPerSecond = lane.rates.total(),
             reachable = lane.isReachable,
-            ranges = lane.rates.report(ranges),
+            ranges = ranges,
         )
 
     private fun nameOf(outcome: ForwardOutcome): String =
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/ServiceBudgets.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/ServiceBudgets.kt
@@ -48,7 +48,8 @@
     val retries = RetryPermits { retryTokens.spend().also { if (it) retryCounter.increment() } }
 
     val hedges = object : HedgeRule {
-        override fun delayMs(): Long? = latencies.percentileMs(HEDGE_PERCENTILE)
+        // Latencies are counted in whole milliseconds, so that only a longer one lies above the percentile.
+        override fun delayMs(): Long? = latencies.percentileMs(HEDGE_PERCENTILE)?.let { it + 1 }
 
         override fun spend(): Boolean = hedgeTokens.spend().also { if (it) hedgeCounter.increment() }
     }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/SharedDispatcher.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/SharedDispatcher.kt
@@ -49,7 +49,7 @@
             tried += target.id
             last = attempt(seen, inbound, target, tried)
             if (last is ForwardOutcome.Unknown) mayHaveRun = last
-            if (!mayTryAgain(last, inbound, retries)) break
+            if (!mayTryAgain(last, inbound, tried, retries)) break
         }
         return last.after(mayHaveRun)
     }
@@ -96,7 +96,7 @@
         return if (other is ForwardOutcome.NotRun) earlier else other
     }
 
-    private fun mayTryAgain(outcome: ForwardOutcome, inbound: Inbound, retries: RetryPermits): Boolean =
+    private fun mayTryAgain(outcome: ForwardOutcome, inbound: Inbound, tried: Set<TargetId>, retries: RetryPermits): Boolean =
         when (outcome) {
             is ForwardOutcome.Answered -> false
 
@@ -104,7 +104,9 @@
 
             is ForwardOutcome.NotRun -> when (outcome.cause) {
                 NotRunCause.NOT_RESPONSIBLE, NotRunCause.UNREACHABLE -> true
-                NotRunCause.OVERLOADED, NotRunCause.TOO_LATE -> inbound.idempotencyKey == null && retries.spend()
+
+                // A full target is not asked again for this request: waiting for it would only prolong the refusal.
+                NotRunCause.OVERLOADED, NotRunCause.TOO_LATE -> choose(state.state().value, inbound, tried) != null && retries.spend()
             }
         }
 
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/FakeTargets.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/FakeTargets.kt
@@ -19,7 +19,7 @@
 import yuccaflow.platform.WorkResult
 
 /** What happens to a request at a target. */
-internal enum class TargetFault { NONE, NOT_SENT, SHED, ANSWER_LOST, REQUEST_LOST }
+enum class TargetFault { NONE, NOT_SENT, SHED, ANSWER_LOST, REQUEST_LOST }
 
 /** A target in memory. */
 internal class FakeTarget(
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/RequestPathFixture.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/RequestPathFixture.kt
@@ -168,7 +168,7 @@
 }
 
 /** What happens to a message between routers. */
-internal enum class PeerFault { NONE, NOT_SENT, LOST, ANSWER_LOST }
+enum class PeerFault { NONE, NOT_SENT, LOST, ANSWER_LOST }
 
 internal object NoObserver : TargetObserver {
     override fun answered(target: TargetId, clock: TargetClock) = Unit
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
@@ -53,7 +53,10 @@
         @Test
         fun `the slot of a lost answer stays taken until the request is past its deadline`() = requestPath {
             val router = router("a")
-            val target = target("t", router) { onWork = { TargetFault.ANSWER_LOST }.also { serviceMs = { 10_000 } } }
+            val target = target("t", router) {
+                onWork = { TargetFault.ANSWER_LOST }
+                serviceMs = { 10_000 }
+            }
             val first = async { router.post("/prest", "X-Deadline-Ms" to "300") }
             delay(10)
             val second = router.post("/prest", "X-Deadline-Ms" to "200")
