Plan with the placement policy and hand targets over in order

The policy returns handovers of own targets among its records. They are appended only after the target's requests have ended; sending stops before that, and goes on only when the record was certainly not appended. While the append is unknown nothing is sent, because another router may already be the primary.

The primary of a lost target now moves its ranges itself. Before, only the routers ranked by service did, which hear of the loss by a load query up to 1 s later and wait 500 ms per rank.

--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementNeeds.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementNeeds.kt
@@ -5,7 +5,7 @@
     val service: ServiceName,
     val subject: String,
     val record: ControlRecord,
-    /** Only this router can append the record, so that it need not wait for others. */
+    /** This router alone can append the record, or is the first to know of the need, so that it need not wait for others. */
     val isOwnDuty: Boolean = false,
 )
 
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/RangePlanner.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/RangePlanner.kt
@@ -39,7 +39,11 @@
             kept.filter { !view.isFit(it.owner, it.service) }.groupBy { it.service }.flatMap { (service, entries) ->
                 val placing = Placing(view, service)
                 entries.mapNotNull { entry ->
-                    placing.moveTo(entry)?.let { need(entry, "move", ControlRecord.MoveStarted(service, entry.range, entry.epoch, it)) }
+                    placing.moveTo(entry)?.let { to ->
+                        // The primary sees the loss of its target first; others hear of it a load query later.
+                        val isOwnDuty = view.isLost(entry.owner) && view.livePrimary(entry.owner) == view.input.self
+                        need(entry, "move", ControlRecord.MoveStarted(service, entry.range, entry.epoch, to)).copy(isOwnDuty = isOwnDuty)
+                    }
                 }
             }
     }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
@@ -1,8 +1,8 @@
 package yuccaflow.router
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import yuccaflow.control.PlacementPolicy
 import yuccaflow.control.RouterId
+import yuccaflow.control.placementPolicy
 import yuccaflow.http.HttpClientSettings
 import yuccaflow.http.HttpHandler
 import yuccaflow.http.HttpResponse
@@ -53,7 +53,7 @@
             peers = peers,
         ),
         running = { running },
-        policy = PlacementPolicy { emptyList() },
+        policy = placementPolicy(),
         timer = timer,
         registry = registry,
     )
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
@@ -22,6 +22,7 @@
     private val parts: OwnershipParts,
     private val policy: PlacementPolicy,
     private val input: () -> PlacementInput,
+    private val handOver: (ControlRecord.PrimaryAssigned) -> Unit,
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
 
@@ -36,10 +37,21 @@
         launch { parts.membership.state().collect { wake() } }
         while (true) {
             wake.receive()
-            if (mayPlan()) append(decide())
+            if (mayPlan()) carryOut(decide())
         }
     }
 
+    /** A target of this router may be given away only after its requests have ended, which this loop does not wait for. */
+    private suspend fun carryOut(records: List<ControlRecord>) {
+        val self = parts.membership.routerId
+        val (handovers, others) = records.partition {
+            it is ControlRecord.PrimaryAssigned &&
+                parts.table.primaries[it.target]?.router == self
+        }
+        handovers.filterIsInstance<ControlRecord.PrimaryAssigned>().forEach(handOver)
+        append(others)
+    }
+
     /** A fault of the policy must not stop the grants, which run beside this loop. */
     private fun decide(): List<ControlRecord> =
         try {
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/RouterOwnership.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/RouterOwnership.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.flow.combine
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import yuccaflow.control.ControlRecord
 import yuccaflow.control.PlacementInput
 import yuccaflow.control.PlacementPolicy
 import yuccaflow.control.RouterId
@@ -63,10 +64,14 @@
     )
 
     private val kept = ConcurrentHashMap<TargetId, Kept>()
+
+    /** Where handovers run that the planner asked for. */
+    @Volatile
+    private var handovers: CoroutineScope? = null
     private val leavingSince = mutableMapOf<TargetId, Long>()
     private val leavingHosts = LeavingHosts(links.hostList, parts.timer)
     private val collector = LoadCollector(parts, links.peers, ::ownLoads, ::isPlanner)
-    private val planner = PlannerLoop(parts, policy, ::placementInput)
+    private val planner = PlannerLoop(parts, policy, ::placementInput, ::startHandover)
     private val handover = TargetHandover(parts)
     private val permits = WorkPermits(parts, { kept[it]?.keeper }, { it in leavingHosts.current.value })
 
@@ -89,6 +94,7 @@
     override suspend fun run() {
         try {
             coroutineScope {
+                handovers = this
                 launch { leavingHosts.run() }
                 launch { collector.run() }
                 launch { planner.run() }
@@ -96,12 +102,13 @@
                 changes.collect { (state, hosts) -> reconcile(this, state, hosts) }
             }
         } finally {
+            handovers = null
             kept.clear()
         }
     }
 
     override suspend fun handOver(timeoutMs: Long) {
-        withTimeoutOrNull(timeoutMs) { handover.handOver(kept.values.map { it.keeper }) }
+        withTimeoutOrNull(timeoutMs) { handover.handOverAll(kept.values.map { it.keeper }) }
     }
 
     private fun reconcile(scope: CoroutineScope, state: RouterState, leavingHostNames: Set<String>) {
@@ -133,6 +140,11 @@
         return started
     }
 
+    private fun startHandover(record: ControlRecord.PrimaryAssigned) {
+        val entry = kept[record.target]?.takeIf { it.keeper.primaryEpoch == record.expectedEpoch } ?: return
+        handovers?.launch { handover.handOver(entry.keeper, record.router) }
+    }
+
     private fun ownLoads(): List<TargetLoad> {
         val nowMs = parts.timer.nowMs()
         val seen = parts.running().loads().associateBy { it.target }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
@@ -15,22 +15,25 @@
 internal class TargetHandover(
     private val parts: OwnershipParts,
 ) {
-    /** Hands over all of [keepers], each as soon as none of its requests can still run. */
-    suspend fun handOver(keepers: Collection<TargetKeeper>): Unit = coroutineScope {
-        keepers.map { async { handOver(it) } }.awaitAll()
+    /** Hands over all of [keepers] because this router stops, each as soon as none of its requests can still run. */
+    suspend fun handOverAll(keepers: Collection<TargetKeeper>): Unit = coroutineScope {
+        keepers.map { keeper -> async { leave(keeper) } }.awaitAll()
     }
 
-    private suspend fun handOver(keeper: TargetKeeper) {
+    private suspend fun leave(keeper: TargetKeeper) {
         while (isPrimary(keeper)) {
             val next = successor(keeper) ?: return
-            keeper.isHandingOver = true
-            parts.running().awaitNoneRunning(keeper.target)
-            appendUntilKnown(keeper, next)
-            if (!isPrimary(keeper)) break
-            // The log cannot be reached. Serving on is better than refusing until it can.
-            keeper.isHandingOver = false
-            parts.timer.sleep(RETRY_PAUSE_MS)
+            handOver(keeper, next)
+            if (isPrimary(keeper)) parts.timer.sleep(RETRY_PAUSE_MS)
         }
+    }
+
+    /** Hands [keeper]'s target to [next], or serves on when that cannot be recorded. Does nothing while a handover is under way. */
+    suspend fun handOver(keeper: TargetKeeper, next: RouterId) {
+        if (!keeper.beginHandover()) return
+        parts.running().awaitNoneRunning(keeper.target)
+        appendUntilKnown(keeper, next)
+        if (isPrimary(keeper)) keeper.endHandover()
         Logger.info("target {} handed over to {}", keeper.target, parts.table.primaries[keeper.target]?.router)
     }
 
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetKeeper.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetKeeper.kt
@@ -14,6 +14,7 @@
 import yuccaflow.platform.GrantedRange
 import yuccaflow.platform.OrderResult
 import yuccaflow.platform.TargetClock
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.math.max
 
 /** A grant that the target instance [instance] has confirmed. [validUntilMs] is local monotonic time. */
@@ -60,9 +61,16 @@
     var grant: ConfirmedGrant? = null
         private set
 
-    /** Set while the target is handed over to another router; nothing may be sent then. */
-    @Volatile
-    var isHandingOver: Boolean = false
+    private val handingOver = AtomicBoolean()
+
+    /** Whether the target is being handed over to another router; nothing may be sent then. */
+    val isHandingOver: Boolean get() = handingOver.get()
+
+    /** Stops all sending to the target. Returns false when it had been stopped before. */
+    fun beginHandover(): Boolean = handingOver.compareAndSet(false, true)
+
+    /** The target was certainly not handed over, so that sending may go on. */
+    fun endHandover() = handingOver.set(false)
 
     /** Gives the keeper its current duty and renews the grant at once when it changed. */
     fun update(next: KeeperDuty) {
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeSystem.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeSystem.kt
@@ -12,6 +12,7 @@
 import yuccaflow.control.PlacementPolicy
 import yuccaflow.control.ServiceName
 import yuccaflow.control.TargetSpec
+import yuccaflow.control.placementPolicy
 import yuccaflow.http.SocketAddress
 import yuccaflow.platform.WorkResult
 import yuccaflow.router.ownership.Ownership
