--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Stragglers.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Stragglers.kt
@@ -28,7 +28,7 @@
         val calmDirect = straggle(cluster, settings, "random, no stragglers", targets, emptyList())
         val direct = straggle(cluster, settings, "random, stragglers", targets, stragglers)
         val runs = listOf(calm, routed, calmDirect, direct)
-        runs.forEach { report.case(it.name, *it.total.values(), "extra_share" to it.extraShare) }
+        runs.forEach { report.case(it.name, it.total.values() + ("extra_share" to it.extraShare)) }
         report.ratio("p99 with stragglers", routed.total.p99Ms, direct.total.p99Ms)
         report.ratio("p99.9 with stragglers", routed.total.p999Ms, direct.total.p999Ms)
         val factor = routed.total.p99Ms / calm.total.p99Ms
@@ -62,7 +62,7 @@
     cluster.switchTargets(null, "\"slow\":1.0,\"load_late_ms\":0")
     if (stragglers.isNotEmpty()) cluster.switchTargets(stragglers, "\"slow\":$STRAGGLER_FACTOR,\"load_late_ms\":$LOAD_REPORT_LATE_MS")
     val prefix = name.filter { it.isLetter() }
-    val plan = LoadPlan(entries, deployment.mix(KEYS, zipf = 0.0), rate, settings.seed, prefix, optimize = true)
+    val plan = LoadPlan(entries, emptyList(), deployment.mix(KEYS, zipf = 0.0), rate, settings.seed, prefix, optimize = true)
     val load = CallerLoad.start(cluster.group, cluster.ports, plan)
     delay(WARM_UP_MS)
     load.reset()
