Send idempotent requests again that are lost on silent connections

A request on a connection that has gone silent was lost until its deadline, and its slot with it. An idempotent request may now run for 8 times the recent mean (at least 150 ms) at first, told to the target as its run-before, and is sent once more when no answer came; second attempts stay within 10% of the requests.

The entry's choice counts slots only when none is free and speeds only when they differ by a factor of 1.5: a target that had just started got no work to warm up with, and small differences of speed attracted all requests.

--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/TokenBudget.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/TokenBudget.kt
@@ -1,4 +1,4 @@
-package yuccaflow.router.routing
+package yuccaflow.router
 
 /** Allows extra sends as a share of the requests: each request adds [share] of a token, up to [burst]. */
 internal class TokenBudget(
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/ServiceTimes.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/ServiceTimes.kt
@@ -17,7 +17,10 @@
 
 /** A target's service times as its primary measures them. Not thread-safe. */
 internal class ServiceTimes {
-    private var samples = 0
+    /** Service times noted. */
+    var samples: Int = 0
+        private set
+
     private var lateInRow = 0
     private var baselineMs = 0.0
 
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
@@ -111,7 +111,7 @@
     private suspend fun run(job: Job): ForwardOutcome {
         val request = job.request
         val key = request.headers.firstOrNull { it.name.equals(IDEMPOTENCY_KEY_HEADER, ignoreCase = true) }?.value
-        if (request.idempotent || key == null) return admitAndSend(job)
+        if (request.idempotent || key == null) return attempts(job)
         return when (val remembered = window.begin(IdempotencyKey(request.service, key), fingerprintOf(request))) {
             is Remembered.First -> {
                 scope.launch(start = CoroutineStart.UNDISPATCHED) { window.finish(remembered.entry, runFirst(job)) }
@@ -128,7 +128,7 @@
 
     private suspend fun runFirst(job: Job): ForwardOutcome =
         try {
-            admitAndSend(job)
+            attempts(job)
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
@@ -140,7 +140,18 @@
         return entry.known ?: ForwardOutcome.Unknown("the first request with this $IDEMPOTENCY_KEY_HEADER is still running")
     }
 
-    private suspend fun admitAndSend(job: Job): ForwardOutcome {
+    /** An idempotent request is sent once more when the first attempt is lost early, as on a connection that has gone silent. */
+    private suspend fun attempts(job: Job): ForwardOutcome {
+        job.lane.repeats.earn()
+        val limitMs = if (job.request.idempotent) job.lane.attemptLimitMs() else null
+        if (limitMs == null || limitMs > (job.deadlineMs - timer.nowMs()) / 2) return admitAndSend(job, limitMs = null)
+        val first = admitAndSend(job, limitMs)
+        if (first !is ForwardOutcome.Unknown || !job.lane.repeats.spend()) return first
+        return admitAndSend(job, limitMs = null).let { if (it is ForwardOutcome.NotRun) first else it }
+    }
+
+    /** Sends the request when it has a slot and a permit. It may run at the target for [limitMs] from then on, or until its deadline. */
+    private suspend fun admitAndSend(job: Job, limitMs: Long?): ForwardOutcome {
         denialOf(permit(job.request))?.let { return it }
         val work = Work(job.request.service, job.request.key, job.deadlineMs)
         job.lane.enter(work)?.let { return refused(it) }
@@ -151,14 +162,16 @@
             job.lane.finish(work)
             return denial
         }
-        return send(job, work, permit as WorkPermit.Granted)
+        permit as WorkPermit.Granted
+        // Without a reading of its clock the target cannot be told to stop early.
+        val shortMs = limitMs?.takeIf { permit.clock != null }
+        val runUntilMs = if (shortMs == null) job.deadlineMs else minOf(job.deadlineMs, timer.nowMs() + shortMs)
+        return send(job, work, WorkOrder(job.request, job.target, job.traceparent, runUntilMs, permit, shortMs != null))
     }
 
-    private suspend fun send(job: Job, work: Work, permit: WorkPermit.Granted): ForwardOutcome {
+    private suspend fun send(job: Job, work: Work, order: WorkOrder): ForwardOutcome {
         val outcome = CompletableDeferred<ForwardOutcome>()
-        scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            sender.send(WorkOrder(job.request, job.target, job.traceparent, job.deadlineMs, permit), job.lane, work, outcome)
-        }
+        scope.launch(start = CoroutineStart.UNDISPATCHED) { sender.send(order, job.lane, work, outcome) }
         try {
             return outcome.await()
         } catch (e: CancellationException) {
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/TargetLane.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/TargetLane.kt
@@ -5,6 +5,7 @@
 import yuccaflow.control.ServiceName
 import yuccaflow.control.TargetId
 import yuccaflow.platform.TimerService
+import yuccaflow.router.TokenBudget
 import java.util.PriorityQueue
 
 /** Requests that may wait per slot. */
@@ -13,6 +14,19 @@
 /** Failures in a row after which a target counts as unreachable. */
 private const val UNREACHABLE_AFTER_FAILURES = 3
 
+/** Second attempts as a share of the requests, and how many may be saved up: as many as connections may go silent at once. */
+private const val REPEAT_SHARE = 0.1
+private const val REPEAT_BURST = 10.0
+
+/** An attempt is lost after this many times the recent mean; the 99.9th percentile of a usual service stays below. */
+private const val ATTEMPT_FACTOR = 8.0
+
+/** Shortest limit of an attempt, so that a pause of the target for garbage collection is not taken for a lost connection. */
+private const val MIN_ATTEMPT_MS = 150L
+
+/** Below this number of answers the mean says little. */
+private const val MIN_SAMPLES = 20
+
 /**
  * The slots and the queue of one target. The count is exact: a slot is taken before a request is sent and is free again only when the
  * request can no longer run at the target.
@@ -34,12 +48,21 @@
 
     val rates = KeyRates(timer)
 
+    /** Allows second attempts at idempotent requests. */
+    val repeats = TokenBudget(REPEAT_SHARE, REPEAT_BURST, initial = REPEAT_BURST)
+
     val inFlight: Int get() = synchronized(lock) { running.size }
     val queued: Int get() = synchronized(lock) { queue.size }
     val limit: Int get() = synchronized(lock) { capacity.limit }
     val serviceTimeMs: Double get() = synchronized(lock) { times.recentMs }
     val isReachable: Boolean get() = synchronized(lock) { failuresInRow < UNREACHABLE_AFTER_FAILURES }
 
+    /** Time after which an attempt is probably lost rather than slow, or null while too little is known of the target. */
+    fun attemptLimitMs(): Long? =
+        synchronized(lock) {
+            if (times.samples < MIN_SAMPLES) null else maxOf(MIN_ATTEMPT_MS, (ATTEMPT_FACTOR * times.recentMs).toLong())
+        }
+
     /** Waits for a slot. Returns null when [work] has one, which [finish] must give back, or why it gets none. */
     suspend fun enter(work: Work): Refusal? {
         synchronized(lock) {
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/WorkSender.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/WorkSender.kt
@@ -35,6 +35,8 @@
     val traceparent: String,
     val deadlineMs: Long,
     val permit: WorkPermit.Granted,
+    /** Tells that another attempt may follow: a lost one then says nothing of the target's speed. */
+    val isFirstOfTwo: Boolean,
 )
 
 /** Sends admitted work and gives its slot back when it can no longer run at the target. */
@@ -49,7 +51,8 @@
         try {
             val result = workResult(order, sentMs)
             if (result is WorkResult.Unknown) work.lostUntilMs = runsUntilMs(order)
-            note(order.target.id, lane, result, timer.nowMs() - sentMs)
+            val lostEarly = order.isFirstOfTwo && result is WorkResult.Unknown
+            note(order.target.id, lane, result, if (lostEarly) 0 else timer.nowMs() - sentMs)
             outcome.complete(outcomeOf(result))
             // The request may still run at the target; it stops there at its deadline, which the target keeps by its own clock.
             work.lostUntilMs?.let { timer.sleep((it - timer.nowMs()).coerceAtLeast(0)) }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/SharedDispatcher.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/SharedDispatcher.kt
@@ -31,6 +31,8 @@
     private val timer: TimerService,
     private val hedges: (Inbound) -> HedgeRule,
 ) : Dispatcher {
+    private val targets = TargetsInService()
+
     override suspend fun dispatch(inbound: Inbound, retries: RetryPermits): ForwardOutcome {
         val tried = HashSet<TargetId>()
         var waitMs = FIRST_RETRY_WAIT_MS
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/TargetBook.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/TargetBook.kt
@@ -20,6 +20,9 @@
 /** Time in which a reported number of requests at the target halves, as requests take milliseconds. */
 private const val LOAD_HALF_LIFE_MS = 100.0
 
+/** Service times within this factor of the typical one count as equal. */
+private const val SAME_SPEED_FACTOR = 1.5
+
 private const val MIN_SERVICE_TIME_MS = 0.5
 
 /** A target with its primary. */
@@ -43,6 +46,11 @@
         @Volatile var avoidUntilMs: Long = Long.MIN_VALUE
     }
 
+    private class Cost(
+        val timeMs: Double,
+        val usedPart: Double,
+    )
+
     private val avoidedRouters = ConcurrentHashMap<RouterId, Long>()
     private val entries = ConcurrentHashMap<TargetId, Entry>()
 
@@ -84,19 +92,29 @@
         val first = random.nextInt(calm.size)
         val second = (first + 1 + random.nextInt(calm.size - 1)) % calm.size
         val typicalMs = typicalServiceTimeMs(calm)
-        return listOf(calm[first], calm[second]).minBy { expectedMs(it, typicalMs) }
+        return listOf(calm[first], calm[second]).minWith(compareBy({ costOf(it, typicalMs).timeMs }, { costOf(it, typicalMs).usedPart }))
     }
 
-    /** The time that a new request would take at [target]. */
-    private fun expectedMs(target: TargetSpec, typicalMs: Double): Double {
+    /**
+     * The time that a new request would take at [target], and the part of its slots in use, which decides between equal times. While a
+     * slot is free the number of slots does not count: otherwise a target that has just started would get no work to warm up with.
+     */
+    private fun costOf(target: TargetSpec, typicalMs: Double): Cost {
         val entry = entryOf(target.id)
-        val load = entry.load ?: return typicalMs * (1 + entry.ownRequests.get()) / target.slots
+        val load = entry.load
         val ageMs = (timer.nowMs() - entry.loadAtMs).toDouble()
-        val reported = (load.inFlight + load.queued) * halved(ageMs, LOAD_HALF_LIFE_MS)
+        val reported = if (load == null) 0.0 else (load.inFlight + load.queued) * halved(ageMs, LOAD_HALF_LIFE_MS)
         val ahead = maxOf(reported, entry.ownRequests.get().toDouble())
+        val slots = load?.capacity?.coerceAtLeast(1.0) ?: target.slots.toDouble()
+        val serviceMs = if (load == null) typicalMs else serviceTimeMs(load, ageMs, typicalMs)
+        return Cost(serviceMs * maxOf(1.0, (1 + ahead) / slots), ahead / slots)
+    }
+
+    /** The target's speed as far as it differs clearly from the others, since small differences are noise that would attract all requests. */
+    private fun serviceTimeMs(load: TargetLoad, ageMs: Double, typicalMs: Double): Double {
         val trust = halved(ageMs, SPEED_HALF_LIFE_MS)
         val serviceMs = load.serviceTimeMs * trust + typicalMs * (1 - trust)
-        return maxOf(serviceMs, MIN_SERVICE_TIME_MS) * (1 + ahead) / load.capacity.coerceAtLeast(1.0)
+        return if (serviceMs in typicalMs / SAME_SPEED_FACTOR..typicalMs * SAME_SPEED_FACTOR) typicalMs else serviceMs
     }
 
     private fun typicalServiceTimeMs(targets: List<TargetSpec>): Double {
