--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/RangeMover.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/RangeMover.kt
@@ -21,10 +21,19 @@
     /** Starts the release of each moving range in [ranges] that is not under way yet, and cancels those that no longer stand. */
     fun update(scope: CoroutineScope, ranges: List<RangeEntry>) {
         val moving = ranges.filter { it.move != null }.toSet()
-        (jobs.keys - moving).forEach { jobs.remove(it)?.cancel() }
+        (jobs.keys - moving).forEach { finish(it) }
         (moving - jobs.keys).forEach { jobs[it] = scope.launch { release(it) } }
     }
 
+    /** The job may still wait to read its own record back, so the move is counted here, where its result was read. */
+    private fun finish(entry: RangeEntry) {
+        jobs.remove(entry)?.cancel()
+        val owner = parts.table.rangeOf(entry.service, entry.range.from)?.owner
+        if (owner != entry.move?.to) return
+        Logger.info("released {} {} at {}, now owned by {}", entry.service, entry.range, entry.owner, owner)
+        parts.registry.counter(MetricNames.MOVES, "service", entry.service.value).increment()
+    }
+
     private suspend fun release(entry: RangeEntry) {
         parts.running().awaitNoneRunning(keeper.target, entry.service, entry.range)
         awaitEarlierPrimary(entry)
@@ -50,8 +59,6 @@
             if (parts.table.ranges(entry.service).none { it == entry }) break
             parts.timer.sleep(REPEAT_PAUSE_MS)
         }
-        Logger.info("released {} {} at {}, now owned by {}", entry.service, entry.range, entry.owner, entry.move?.to)
-        parts.registry.counter(MetricNames.MOVES, "service", entry.service.value).increment()
     }
 
     private suspend fun awaitRead(offset: Long) {
