--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/PublishCommands.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/PublishCommands.kt
@@ -141,7 +141,8 @@
             missing = state.missing,
         )
         if (state.missing.isEmpty()) {
-            print(report, "The $what is in force on ${state.inForce.size} live routers")
+            val text = if (state.inForce.isEmpty()) "accepted; no router is live, so it takes effect when routers start" else inForce(state)
+            print(report, "The $what is $text")
             return ExitStatus.DONE
         }
         val rows = state.missing.map { listOf(it.router.value, it.zone, it.host, it.reason) }
@@ -152,5 +153,7 @@
         return ExitStatus.UNKNOWN
     }
 
+    private fun inForce(state: RolloutState) = "in force on all ${state.inForce.size} live routers"
+
     private fun print(report: PublishReport, text: String) = console.result(PublishReport.serializer(), report) { text }
 }
--- a/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/YuccactlTest.kt
+++ b/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/YuccactlTest.kt
@@ -81,7 +81,7 @@
             timer.onSleep = { slow.configPosition = 1 }
             expectThat(publish()).isEqualTo(ExitStatus.DONE)
             expectThat(errors.toString()).contains("In force on 1 of 2 live routers")
-            expectThat(output.toString()).contains("in force on 2 live routers")
+            expectThat(output.toString()).contains("in force on all 2 live routers")
         }
 
         @Test
@@ -221,7 +221,7 @@
             log.expireBefore(Streams.CONFIG, 2)
             expectThat(publish()).isEqualTo(ExitStatus.DONE)
             expectThat(errors.toString()).contains("accepted as version 2")
-            expectThat(output.toString()).contains("in force on 1 live routers")
+            expectThat(output.toString()).contains("in force on all 1 live routers")
         }
 
         @Test
