--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/PublishCommands.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/PublishCommands.kt
@@ -148,7 +148,7 @@
         val rows = state.missing.map { listOf(it.router.value, it.zone, it.host, it.reason) }
         print(report, "Not yet in force on:\n" + table(listOf("ROUTER", "ZONE", "HOST", "REASON"), rows))
         console.error(
-            "the $what is accepted and stays so, but not yet in force on ${rows.size} routers. Check these hosts; run `yuccactl status`.",
+            "the $what is accepted and stays so, but is not in force on these routers. Check their hosts with `yuccactl status`.",
         )
         return ExitStatus.UNKNOWN
     }
--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ReportCommands.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ReportCommands.kt
@@ -18,6 +18,8 @@
 @Serializable
 internal data class RouterStatus(
     val router: String,
+    val zone: String,
+    val host: String,
     val adminAddress: String,
     val status: StatusReport?,
     val failure: String?,
@@ -47,6 +49,8 @@
 ) {
     private class KnownRouter(
         val id: String,
+        val zone: String,
+        val host: String,
         val adminAddress: String,
     )
 
@@ -54,8 +58,9 @@
     suspend fun status(): ExitStatus {
         val statuses = askAll("/status", StatusReport.serializer()).map { (router, answer) ->
             when (answer) {
-                is RouterAnswer.Answered -> RouterStatus(answer.report.router.value, router.adminAddress, answer.report, null)
-                is RouterAnswer.NoAnswer -> RouterStatus(router.id, router.adminAddress, null, answer.reason)
+                is RouterAnswer.Answered ->
+                    answer.report.let { RouterStatus(it.router.value, it.zone.value, it.host, router.adminAddress, it, failure = null) }
+                is RouterAnswer.NoAnswer -> RouterStatus(router.id, router.zone, router.host, router.adminAddress, null, answer.reason)
             }
         }
         console.result(RoutersReport.serializer(), RoutersReport(statuses)) { statusTable(it) }
@@ -117,13 +122,13 @@
     }
 
     private suspend fun routers(): List<KnownRouter> {
-        if (router != null) return listOf(KnownRouter("-", router.toString()))
+        if (router != null) return listOf(KnownRouter("-", "-", "-", router.toString()))
         val reader = checkNotNull(reader)
         reader.readControl()
         return reader.table.routers.values
             .filter { reader.table.isLive(it.id) }
             .sortedWith(compareBy({ it.zone.value }, { it.host }))
-            .map { KnownRouter(it.id.value, it.adminAddress) }
+            .map { KnownRouter(it.id.value, it.zone.value, it.host, it.adminAddress) }
     }
 
     private suspend fun <T> askAll(path: String, shape: DeserializationStrategy<T>): List<Pair<KnownRouter, RouterAnswer<T>>> {
@@ -151,13 +156,14 @@
     private fun statusTable(report: RoutersReport): String {
         val rows = report.routers.map { router ->
             val status = router.status
-            if (status == null) {
-                listOf(router.router, "-", "-", router.adminAddress, "no answer", "-", "-", "-", "-")
+            val state = if (status == null) {
+                listOf("no answer", "-", "-", "-", "-")
             } else {
                 val lease = if (status.leaseRemainingMs > 0) "${status.leaseRemainingMs} ms" else "none"
-                listOf(router.router, status.zone.value, status.host, router.adminAddress, status.stage.lowercase(), lease) +
+                listOf(status.stage.lowercase(), lease) +
                     listOf(status.controlPosition, status.configPosition, status.configVersion).map(::cell)
             }
+            listOf(router.router, router.zone, router.host, router.adminAddress) + state
         }
         return table(listOf("ROUTER", "ZONE", "HOST", "ADMIN", "STAGE", "LEASE", "CONTROL", "CONFIG", "VERSION"), rows)
     }
--- a/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/YuccactlTest.kt
+++ b/yuccaflow-cli/src/test/kotlin/yuccaflow/cli/YuccactlTest.kt
@@ -241,7 +241,7 @@
             router("r-1", 3)
             router("r-2", 3).close()
             expectThat(runWithLog("status")).isEqualTo(ExitStatus.DONE)
-            expectThat(output.toString()).contains("host-r-1").contains("no answer")
+            expectThat(output.toString()).contains("host-r-1").contains(Regex("brest +host-r-2 +\\S+ +no answer"))
         }
 
         @Test
