--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -1,14 +1,10 @@
 package yuccaflow.http
 
-import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
-import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.atomic.AtomicReference
@@ -58,19 +54,17 @@
     /** Returns whether the connection is open and nothing arrived on it while it was idle. */
     fun isUsable(): Boolean = channel.isActive && inbox.poll() == null
 
-    /** Writes [request] unless the connection is closed or [mark] was abandoned. Returns false when nothing was written. */
-    suspend fun write(address: SocketAddress, request: HttpRequest, mark: SendMark): Boolean {
-        val message = encode(address, request)
-        return suspendCancellableCoroutine { waiter ->
+    /** Writes [message] unless the connection is closed or [mark] was abandoned. Returns false when nothing was written. */
+    suspend fun write(message: FullHttpRequest, mark: SendMark): Boolean =
+        suspendCancellableCoroutine { waiter ->
             // Activity is checked on the event loop, where the connection cannot be closed between the check and the write.
             channel.eventLoop().execute {
                 val written = channel.isActive && mark.markSent()
-                if (written) lastWrite = channel.writeAndFlush(message)
+                if (written) lastWrite = channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
                 waiter.resume(written)
             }
             waiter.invokeOnCancellation { mark.abandon() }
         }
-    }
 
     /** Reads the response to a request with [method]. */
     suspend fun read(method: String): ResponseRead {
@@ -124,17 +118,7 @@
             HttpUtil.isContentLengthSet(head) ||
             HttpUtil.isTransferEncodingChunked(head)
 
-    private fun encode(address: SocketAddress, request: HttpRequest): FullHttpRequest {
-        val body = Unpooled.wrappedBuffer(request.body)
-        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target, body)
-        message.putAll(request.headers)
-        if (!message.headers().contains(HttpHeaderNames.HOST)) message.headers().set(HttpHeaderNames.HOST, address.toString())
-        if (request.body.isNotEmpty() || request.method !in WITHOUT_BODY) message.putLength(request.body.size)
-        return message
-    }
-
     private companion object {
         val BODILESS = setOf(204, 304)
-        val WITHOUT_BODY = setOf("GET", "HEAD", "OPTIONS", "TRACE")
     }
 }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
 import kotlinx.coroutines.sync.Semaphore
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.cancellation.CancellationException
@@ -80,11 +81,17 @@
         idle.clear()
     }
 
+    private companion object {
+        // Targets may send more headers than callers may.
+        const val HEADER_LIMIT_BYTES = 65_536
+    }
+
     private class Pipeline(
         private val inbox: Inbox,
     ) : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpClientCodec(), inbox)
+            val decoding = HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES)
+            channel.pipeline().addLast(HttpClientCodec(decoding, HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST, false), inbox)
         }
     }
 }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -11,7 +11,10 @@
     val headerLimitBytes: Int = 16_384,
     val requestLineLimitBytes: Int = 8_192,
     val bodyLimitBytes: Int = 1_048_576,
+    /** Time for a whole request to arrive, from its first byte. */
     val requestTimeoutMs: Long = 10_000,
+    /** Time for a caller to take a whole response. */
+    val responseTimeoutMs: Long = 10_000,
     val idleTimeoutMs: Long = 60_000,
     val connectionLimit: Int = 10_000,
 )
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/Inbox.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/Inbox.kt
@@ -55,7 +55,7 @@
 
     /** Adds an item. */
     fun offer(item: Inbound) {
-        if (queued.incrementAndGet() >= PAUSE_AT) netty?.config()?.isAutoRead = false
+        if (queued.incrementAndGet() >= PAUSE_AT) pause()
         queue.trySend(item)
     }
 
@@ -94,6 +94,13 @@
         if (message is LastHttpContent) offer(Inbound.End)
     }
 
+    private fun pause() {
+        val config = netty?.config() ?: return
+        config.isAutoRead = false
+        // The coroutine may have taken enough meanwhile, and would not resume again.
+        if (queued.get() <= RESUME_AT) config.isAutoRead = true
+    }
+
     private fun taken() {
         if (queued.decrementAndGet() == RESUME_AT) netty?.config()?.isAutoRead = true
     }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/MessageHeaders.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/MessageHeaders.kt
@@ -33,6 +33,6 @@
 }
 
 /** Sets the length of the body. */
-internal fun HttpMessage.putLength(bytes: Int) {
+internal fun HttpMessage.putLength(bytes: Long) {
     headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes)
 }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -1,5 +1,11 @@
 package yuccaflow.http
 
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
@@ -15,12 +21,17 @@
 
     override suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String?): HttpResult {
         if (closed) return HttpResult.NotSent("the client is closed")
+        val message = try {
+            encode(address, request)
+        } catch (invalid: IllegalArgumentException) {
+            return HttpResult.NotSent("the request is not valid: ${invalid.message}")
+        }
+        val call = Call(address, message, expectedRequestId)
         val pool = pools.computeIfAbsent(address) { ConnectionPool(it, settings) }
-        val mark = SendMark()
         val result = withTimeoutOrNull(timeoutMs) {
-            pool.permits.withPermit { exchange(pool, address, request, expectedRequestId, mark) }
+            pool.permits.withPermit { exchange(pool, call) }
         }
-        return result ?: timedOut(address, timeoutMs, mark)
+        return result ?: timedOut(call, timeoutMs)
     }
 
     override suspend fun close() {
@@ -28,44 +39,39 @@
         pools.values.forEach { it.close() }
     }
 
-    private suspend fun exchange(
-        pool: ConnectionPool,
-        address: SocketAddress,
-        request: HttpRequest,
-        expectedRequestId: String?,
-        mark: SendMark,
-    ): HttpResult {
+    private class Call(
+        val address: SocketAddress,
+        val message: FullHttpRequest,
+        val expectedRequestId: String?,
+    ) {
+        val mark = SendMark()
+    }
+
+    private suspend fun exchange(pool: ConnectionPool, call: Call): HttpResult {
         while (true) {
             val pooled = pool.takeIdle()
             val connection = pooled ?: when (val opened = pool.open()) {
                 is Opened.Failed -> return HttpResult.NotSent(opened.reason)
                 is Opened.Ready -> opened.connection
             }
-            val result = exchangeOn(connection, pool, address, request, expectedRequestId, mark)
+            val result = exchangeOn(connection, pool, call)
             if (result != null) return result
             // A pooled connection may have been closed since it was last used; a new one that closes at once is a failure.
-            if (pooled == null) return HttpResult.NotSent("$address closed the connection before the request was sent")
+            if (pooled == null) return HttpResult.NotSent("${call.address} closed the connection before the request was sent")
         }
     }
 
     /** Sends on [connection] and returns the result, or null when nothing was sent because it is closed. */
-    private suspend fun exchangeOn(
-        connection: ClientConnection,
-        pool: ConnectionPool,
-        address: SocketAddress,
-        request: HttpRequest,
-        expectedRequestId: String?,
-        mark: SendMark,
-    ): HttpResult? {
+    private suspend fun exchangeOn(connection: ClientConnection, pool: ConnectionPool, call: Call): HttpResult? {
         var reusable = false
         try {
-            if (!connection.write(address, request, mark)) return null
-            return when (val read = connection.read(request.method)) {
-                is ResponseRead.Broken -> HttpResult.Unknown("$address: ${read.reason}")
+            if (!connection.write(call.message, call.mark)) return null
+            return when (val read = connection.read(call.message.method().name())) {
+                is ResponseRead.Broken -> HttpResult.Unknown("${call.address}: ${read.reason}")
                 is ResponseRead.Complete -> {
                     val answeredId = read.response.headers["X-Request-Id"]
-                    if (expectedRequestId != null && answeredId != null && answeredId != expectedRequestId) {
-                        HttpResult.Unknown("$address answered request $answeredId instead of $expectedRequestId")
+                    if (call.expectedRequestId != null && answeredId != null && answeredId != call.expectedRequestId) {
+                        HttpResult.Unknown("${call.address} answered request $answeredId instead of ${call.expectedRequestId}")
                     } else {
                         reusable = read.reusable
                         HttpResult.Answered(read.response)
@@ -77,10 +83,23 @@
         }
     }
 
-    private fun timedOut(address: SocketAddress, timeoutMs: Long, mark: SendMark): HttpResult =
-        if (mark.abandon()) {
-            HttpResult.NotSent("no free connection to $address within $timeoutMs ms")
+    private fun timedOut(call: Call, timeoutMs: Long): HttpResult =
+        if (call.mark.abandon()) {
+            HttpResult.NotSent("no free connection to ${call.address} within $timeoutMs ms")
         } else {
-            HttpResult.Unknown("no whole response from $address within $timeoutMs ms")
+            HttpResult.Unknown("no whole response from ${call.address} within $timeoutMs ms")
         }
+
+    private fun encode(address: SocketAddress, request: HttpRequest): FullHttpRequest {
+        val body = Unpooled.wrappedBuffer(request.body)
+        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target, body)
+        message.putAll(request.headers)
+        if (!message.headers().contains(HttpHeaderNames.HOST)) message.headers().set(HttpHeaderNames.HOST, address.toString())
+        if (request.body.isNotEmpty() || request.method !in WITHOUT_BODY) message.putLength(request.body.size.toLong())
+        return message
+    }
+
+    private companion object {
+        val WITHOUT_BODY = setOf("GET", "HEAD", "OPTIONS", "TRACE")
+    }
 }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
@@ -8,7 +8,8 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
-import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 
@@ -73,9 +74,9 @@
 
     private suspend fun handle(request: HttpRequest): HttpResponse = try {
         handler.handle(request)
-    } catch (cancelled: CancellationException) {
-        throw cancelled
     } catch (failure: Exception) {
+        // A timeout inside the handler is a cancellation too, but the connection goes on.
+        currentCoroutineContext().ensureActive()
         Logger.error(failure, "Handler failed for {} {}", request.method, request.path)
         internalError(request)
     }
@@ -103,7 +104,7 @@
 
     /** Writes a message. Returns false when the connection is closed or the caller does not read for too long. */
     private suspend fun write(message: FullHttpResponse): Boolean =
-        withTimeoutOrNull(limits.requestTimeoutMs) { channel.writeAndFlush(message).awaitFailure() == null } ?: false
+        withTimeoutOrNull(limits.responseTimeoutMs) { channel.writeAndFlush(message).awaitFailure() == null } ?: false
 
     /** Discards what the caller still sends, because closing with unread bytes would make the kernel drop the response. */
     private suspend fun closeGracefully() {
@@ -119,10 +120,16 @@
         val content = if (hasBody && method != "HEAD") response.body else EMPTY_BODY
         val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content))
         message.putAll(response.headers)
-        if (hasBody) message.putLength(response.body.size)
+        if (hasBody) message.putLength(announcedLength(method, response))
         return message
     }
 
+    /** The answer to HEAD announces the length of the body that GET would get. */
+    private fun announcedLength(method: String, response: HttpResponse): Long {
+        val announced = if (method == "HEAD") response.headers["Content-Length"]?.toLongOrNull() else null
+        return announced ?: response.body.size.toLong()
+    }
+
     private fun internalError(request: HttpRequest): HttpResponse =
         refusal(INTERNAL_ERROR, "internal error", "the request handler failed", "unknown", request.headers["X-Request-Id"])
 
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -64,6 +64,13 @@
             expectThat(send()).isA<HttpResult.NotSent>()
         }
 
+        @Test
+        fun `for a request that is not valid, which would otherwise be two`() {
+            serve { socket, _ -> socket.readRequest() }
+            expectThat(send(request = HttpRequest("GET", "/", headersOf("X-A" to "1\r\n\r\nGET /b")))).isA<HttpResult.NotSent>()
+            expectThat(send(request = HttpRequest("GET", "/ HTTP/1.1\r\nX: "))).isA<HttpResult.NotSent>()
+        }
+
         @Test
         fun `for a request that found no free connection in time`() = runBlocking {
             val single = httpClient(HttpClientSettings(connectTimeoutMs = 10_000, connectionsPerAddress = 1))
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.yield
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DisplayName
@@ -317,6 +318,14 @@
             }
         }
 
+        @Test
+        fun `answers 500 when a timeout inside the handler passes, and goes on`() {
+            start { withTimeout(1) { awaitCancellation() } }.use { caller ->
+                expectThat(caller.send(OK).response().status).isEqualTo(500)
+                expectThat(caller.send(OK).response().status).isEqualTo(500)
+            }
+        }
+
         @Test
         fun `answers 500 when the handler gives a header that would split the response`() {
             start { HttpResponse(200, headersOf("X-A" to "1\r\nX-B: 2")) }.use { caller ->
