--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/LeaseProperties.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/LeaseProperties.kt
@@ -28,7 +28,7 @@
 
     /** Guards against two senders, two grants for a key, readers that disagree, and action after the end of a lease was read. */
     @Property(tries = 200, seed = "20261204", shrinking = ShrinkingMode.OFF)
-    fun `no router acts beside another or after its end under any schedule`(
+    fun routersNeverActTogetherOrAfterTheirEnd(
         @ForAll seed: Long,
     ) {
         val world = SimWorld(Random(seed))
@@ -41,7 +41,7 @@
 
     /** Guards against a lost router whose targets stay without a primary for longer than the requirement. */
     @Property(tries = 40, seed = "20261205", shrinking = ShrinkingMode.OFF)
-    fun `the lease of a lost router is ended in time while the log is up`(
+    fun theLeaseOfALostRouterEndsInTime(
         @ForAll seed: Long,
     ) {
         val world = SimWorld(Random(seed))
@@ -62,7 +62,7 @@
 
     /** Guards against a log outage that stops routers whose witnesses can be reached. */
     @Example
-    fun `service continues through a long log outage`() {
+    fun serviceContinuesThroughALongLogOutage() {
         val world = SimWorld(Random(7))
         world.isCalm = true
         startRouters(world, perZone = 4)
--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/PlacementProperties.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/PlacementProperties.kt
@@ -23,7 +23,7 @@
 internal class PlacementProperties {
     /** Guards against ranges that nobody takes care of and against moves that never end. */
     @Property(tries = 40, seed = "20261206", shrinking = ShrinkingMode.OFF)
-    fun `a healthy system settles with every key owned in service and goes quiet`(
+    fun aHealthySystemSettlesAndGoesQuiet(
         @ForAll seed: Long,
     ) {
         val random = Random(seed)
