--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
@@ -5,14 +5,15 @@
 import yuccaflow.control.placementPolicy
 import yuccaflow.http.HttpClientSettings
 import yuccaflow.http.HttpHandler
-import yuccaflow.http.HttpResponse
 import yuccaflow.http.httpClient
 import yuccaflow.platform.TimerService
 import yuccaflow.platform.httpHostList
 import yuccaflow.platform.httpLogService
 import yuccaflow.platform.httpTargetHealth
 import yuccaflow.platform.httpTargetOrders
-import yuccaflow.router.admission.RunningRequests
+import yuccaflow.router.admission.ForwardServer
+import yuccaflow.router.admission.TargetGateway
+import yuccaflow.router.admission.targetGateway
 import yuccaflow.router.membership.Membership
 import yuccaflow.router.membership.membership
 import yuccaflow.router.ownership.Ownership
@@ -20,8 +21,10 @@
 import yuccaflow.router.ownership.ownership
 import yuccaflow.router.peer.PeerMessage
 import yuccaflow.router.peer.PeerNode
+import yuccaflow.router.routing.entryHandler
 import yuccaflow.router.settings.RouterSettings
 import yuccaflow.router.telemetry.adminHandler
+import yuccaflow.router.telemetry.routerTracing
 import yuccaflow.router.telemetry.spanStore
 
 /** All parts of a router, wired together. Nothing runs before [parts] are run. */
@@ -35,6 +38,7 @@
     private val targetClient = httpClient(HttpClientSettings(connectTimeoutMs = TARGET_CONNECT_TIMEOUT_MS))
     private val orders = httpTargetOrders(targetClient, timer)
     private val spans = spanStore()
+    private val tracing = routerTracing(settings.host, spans)
 
     /** Set when a planned stop begins. */
     @Volatile
@@ -52,16 +56,20 @@
             hostList = settings.hostList?.let { httpHostList(platformClient, it) },
             peers = peers,
         ),
-        running = { running },
+        running = { gateway },
         policy = placementPolicy(),
         timer = timer,
         registry = registry,
     )
 
-    private val running: RunningRequests get() = TODO("request path")
+    private val gateway: TargetGateway = targetGateway(membership, ownership, ownership, orders, timer, registry, tracing)
+    private val forwards = ForwardServer(gateway)
 
-    val entry: HttpHandler = HttpHandler { HttpResponse(NO_SUCH_SERVICE) }
+    /** Handles the requests of callers. */
+    val entry: HttpHandler =
+        entryHandler(settings, membership, { membership.routerId }, gateway, peers, timer, registry, tracing)
 
+    /** Handles the requests of operators. */
     val admin: HttpHandler = adminHandler(RouterAdminSource(this, registry), spans)
 
     /** The parts that run side by side. */
@@ -78,7 +86,7 @@
 
     /** Answers a peer's message; null when no part understands it. */
     suspend fun handle(from: RouterId, message: PeerMessage): PeerMessage? =
-        membership.handle(from, message) ?: ownership.handle(from, message)
+        membership.handle(from, message) ?: forwards.handle(from, message) ?: ownership.handle(from, message)
 
     /** Closes what holds connections. */
     suspend fun close() {
@@ -89,6 +97,5 @@
     private companion object {
         /** Short enough to try again within a request's run limit. */
         const val TARGET_CONNECT_TIMEOUT_MS = 200L
-        const val NO_SUCH_SERVICE = 404
     }
 }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/RequestPathFixture.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/RequestPathFixture.kt
@@ -122,7 +122,13 @@
         val registry = SimpleMeterRegistry()
         private val source = StateSource { state }
         val gateway = SlotTargetGateway(
-            source, ::permit.asAuthority(), WorkSender(targets, NoObserver, timer), timer, registry, NoTracing, this@RequestPathFixture,
+            source,
+            ::permit.asAuthority(),
+            WorkSender(targets, NoObserver, timer),
+            timer,
+            registry,
+            NoTracing,
+            this@RequestPathFixture,
         )
         val server = ForwardServer(gateway)
         private val book = TargetBook(timer, Random(seed))
@@ -146,7 +152,15 @@
                 else -> null
             }
             if (reason != null) return WorkPermit.Denied(reason)
-            return WorkPermit.Granted(range?.epoch ?: 0, 1, Long.MAX_VALUE, targets.clockOf(state.value.config.targets.getValue(target)))
+            return WorkPermit.Granted(
+                range?.epoch ?: 0,
+                1,
+                Long.MAX_VALUE,
+                targets.clockOf(
+                    state.value.config.targets
+                        .getValue(target),
+                ),
+            )
         }
 
         private suspend fun callPeer(address: SocketAddress, message: PeerMessage, timeoutMs: Long): PeerResult {
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
@@ -152,9 +152,19 @@
             call.cancel()
             delay(10)
             expectThat(target.cancelled).isEqualTo(mutableListOf("r1"))
-            expectThat(primary.gateway.loads().single().inFlight).isEqualTo(1)
+            expectThat(
+                primary.gateway
+                    .loads()
+                    .single()
+                    .inFlight,
+            ).isEqualTo(1)
             delay(100)
-            expectThat(primary.gateway.loads().single().inFlight).isEqualTo(0)
+            expectThat(
+                primary.gateway
+                    .loads()
+                    .single()
+                    .inFlight,
+            ).isEqualTo(0)
         }
 
         @Test
@@ -182,7 +192,11 @@
                 router.get(if (it % 4 == 0) "/katalog/hot" else "/katalog/k${it % 1_000}")
                 delay(1)
             }
-            val range = router.gateway.loads().single().ranges.single()
+            val range = router.gateway
+                .loads()
+                .single()
+                .ranges
+                .single()
             val rate = range.requestsPerSecond
             expectThat(rate).isGreaterThan(400.0).isLessThan(550.0)
             expectThat(range.hotKeys.first().key).isEqualTo("hot")
