Bound the cost of planning and the wait for a silent log

A decision goes over all targets and ranges, so decisions are at least 25 ms apart. An append gives up after 800 ms, so that a suspected router whose log is silent can still cancel through a peer before its lease is ended.

--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/RouterNode.kt
@@ -45,7 +45,7 @@
     var isStopping: Boolean = false
 
     val membership: Membership =
-        membership(settings, httpLogService(platformClient, settings.logService), peers, timer, registry)
+        membership(settings, httpLogService(platformClient, settings.logService, LOG_TIMEOUT_MS), peers, timer, registry)
 
     val ownership: Ownership = ownership(
         settings = settings,
@@ -95,6 +95,9 @@
     }
 
     private companion object {
+        /** A suspected router whose log is silent has to try, give up and cancel through a peer before the wait of 1,260 ms ends. */
+        const val LOG_TIMEOUT_MS = 800L
+
         /** Short enough to try again within a request's run limit. */
         const val TARGET_CONNECT_TIMEOUT_MS = 200L
     }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/PlannerLoop.kt
@@ -37,6 +37,7 @@
         while (true) {
             wake.receive()
             if (mayPlan()) carryOut(decide())
+            parts.timer.sleep(DECISION_PAUSE_MS)
         }
     }
 
@@ -80,6 +81,9 @@
 
     private companion object {
         const val DECISION_PERIOD_MS = 250L
+
+        /** Bounds the decisions while many records arrive; each goes over all targets and ranges. */
+        const val DECISION_PAUSE_MS = 25L
         const val READ_TIMEOUT_MS = 1_000L
         const val FAILED_PAUSE_MS = 200L
 
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/ownership/OwnershipTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/ownership/OwnershipTest.kt
@@ -97,6 +97,27 @@
             expectThat(ownerOf("055")).isEqualTo(owner)
         }
 
+        /** Guards against keys of a lost zone that stay with targets that nobody serves any more. */
+        @Test
+        fun `keys of a zone whose routers and targets are lost are served elsewhere within 3 s`() = withSystem {
+            val atMs = nowMs
+            system.owners.filter { it.router.zone == "zone-b" }.forEach { it.router.kill() }
+            targetsIn(1).forEach { it.freeze() }
+            pass(5_000)
+            expectThat(longestGapMs(atMs)).isLessThan(SERVICE_WITHIN_MS)
+        }
+
+        /** Guards against a log outage that costs service although the witnesses confirm the leases. */
+        @Test
+        fun `every key is served all the time while the log is down for 60 s`() = withSystem {
+            val atMs = nowMs
+            log.isDown = true
+            pass(60_000)
+            log.isDown = false
+            pass(1_000)
+            expectThat(longestGapMs(atMs)).isLessThan(100)
+        }
+
         /** Guards against a frozen target that keeps its keys, and against one that still owns them when it wakes. */
         @Test
         fun `keys of a frozen target move within 3 s, and it holds no grant when it wakes`() = withSystem {
