Keep counting requests of a changed target, and notice recovered targets

A note that changed a target's slots or address began a new slot count, so that requests under way were neither counted nor waited for by a release. The count now stays and only the ramp starts over.

A target that had been slow stayed avoided after its recovery: its recent mean moved by a fifth per answer, and it was tried about every 8 s (2 of 1,000 requests 20 s after the recovery). The mean now also ages with time.

--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/ServiceTimes.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/ServiceTimes.kt
@@ -1,8 +1,13 @@
 package yuccaflow.router.admission
 
+import kotlin.math.pow
+
 /** Weight of one answer in the recent mean, which follows a change within about five answers. */
 private const val RECENT_WEIGHT = 0.2
 
+/** Half-life of the recent mean without answers: a target that is avoided as slow must show its recovery by a few answers. */
+private const val HALF_LIFE_MS = 1_000.0
+
 /** Weight of one answer in the baseline, which follows a lasting change within about fifty answers. */
 private const val BASELINE_WEIGHT = 0.02
 
@@ -17,6 +22,8 @@
 
 /** A target's service times as its primary measures them. Not thread-safe. */
 internal class ServiceTimes {
+    private var lastAddMs = 0L
+
     /** Service times noted. */
     var samples: Int = 0
         private set
@@ -28,11 +35,13 @@
     var recentMs: Double = 0.0
         private set
 
-    /** Notes one service time, and tells whether it was in time for this target. */
-    fun add(elapsedMs: Long): Boolean {
+    /** Notes one service time measured at [nowMs], and tells whether it was in time for this target. */
+    fun add(elapsedMs: Long, nowMs: Long): Boolean {
         val late = samples > 0 && elapsedMs > LATE_FACTOR * baselineMs + LATE_ALLOWANCE_MS
         samples++
-        recentMs += (elapsedMs - recentMs) * maxOf(RECENT_WEIGHT, 1.0 / samples)
+        val outdated = 1 - 0.5.pow((nowMs - lastAddMs) / HALF_LIFE_MS)
+        lastAddMs = nowMs
+        recentMs += (elapsedMs - recentMs) * maxOf(RECENT_WEIGHT, 1.0 / samples, outdated)
         baselineMs += (elapsedMs - baselineMs) * maxOf(BASELINE_WEIGHT, 1.0 / samples)
         lateInRow = if (late) lateInRow + 1 else 0
         return !late
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/SlotTargetGateway.kt
@@ -239,13 +239,17 @@
         )
     }
 
-    /** The lane of [target], begun anew when its slots, address or service have changed. */
+    /** The lane of [target]. It stays the same when a note changes the target, since requests under way still count. */
     private fun laneOf(target: TargetSpec): TargetLane {
         val known = lanes[target.id]
         if (known != null && known.spec == target) return known.lane
         return lanes
             .compute(target.id) { _, current ->
-                current?.takeIf { it.spec == target } ?: LaneEntry(target, newLane(target))
+                when {
+                    current == null -> LaneEntry(target, newLane(target))
+                    current.spec == target -> current
+                    else -> LaneEntry(target, current.lane.also { it.reconfigure(target.slots) })
+                }
             }!!
             .lane
     }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/TargetLane.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/admission/TargetLane.kt
@@ -38,9 +38,9 @@
     private val timer: TimerService,
 ) {
     private val lock = Any()
-    private val capacity = LearnedCapacity(slots)
+    private var capacity = LearnedCapacity(slots)
     private val times = ServiceTimes()
-    private val queueLimit = slots * QUEUED_PER_SLOT
+    private var queueLimit = slots * QUEUED_PER_SLOT
     private val queue = PriorityQueue<Work>(compareBy { it.deadlineMs })
     private val running = LinkedHashSet<Work>()
     private var failuresInRow = 0
@@ -97,7 +97,7 @@
     fun answered(elapsedMs: Long) =
         synchronized(lock) {
             failuresInRow = 0
-            if (times.add(elapsedMs)) capacity.answeredInTime()
+            if (times.add(elapsedMs, timer.nowMs())) capacity.answeredInTime()
             if (times.turnedSlow()) capacity.restart()
             admitNext()
         }
@@ -113,7 +113,7 @@
     fun failed(elapsedMs: Long) =
         synchronized(lock) {
             failuresInRow++
-            if (elapsedMs > times.recentMs) times.add(elapsedMs)
+            if (elapsedMs > times.recentMs) times.add(elapsedMs, timer.nowMs())
             if (times.turnedSlow()) capacity.restart()
         }
 
@@ -124,6 +124,13 @@
             this.instance = instance
         }
 
+    /** The target was changed by a release note: it may be another process, so it starts cold. Requests under way still count. */
+    fun reconfigure(slots: Int) =
+        synchronized(lock) {
+            capacity = LearnedCapacity(slots)
+            queueLimit = slots * QUEUED_PER_SLOT
+        }
+
     fun restartRamp() = synchronized(lock) { capacity.restart() }
 
     /** The requests for [range] of [service], or all, that can still run at the target. */
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/SharedDispatcher.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/SharedDispatcher.kt
@@ -77,9 +77,10 @@
         coroutineScope {
             val rule = hedges(inbound)
             val original = async { send(seen, inbound, first) }
-            val early = rule.delayMs()?.let { withTimeoutOrNull(it) { original.await() } } ?: null
-            val second = if (early == null && rule.delayMs() != null) choose(seen, inbound, tried) else null
-            if (early != null || second == null || !rule.spend()) return@coroutineScope early ?: original.await()
+            val delayMs = rule.delayMs() ?: return@coroutineScope original.await()
+            withTimeoutOrNull(delayMs) { original.await() }?.let { return@coroutineScope it }
+            val second = choose(seen, inbound, tried)
+            if (second == null || !rule.spend()) return@coroutineScope original.await()
             tried += second.id
             firstAnswer(original, async { send(seen, inbound, second) })
         }
@@ -113,8 +114,7 @@
         }
 
     private fun choose(seen: RouterState, inbound: Inbound, tried: Set<TargetId>): TargetSpec? {
-        val inService = seen.config.targets.values
-            .filter { it.service == inbound.service.name && seen.config.isInService(it) }
+        val inService = targets.of(seen.config, inbound.service.name)
         inbound.idempotencyKey?.let { key -> return rendezvousTarget(inService, key)?.takeIf { it.id !in tried } }
         val candidates = inService.filter { it.id !in tried }.mapNotNull { target ->
             seen.table.primaryOf(target.id)?.let { Candidate(target, it.id) }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
@@ -78,6 +78,20 @@
             expectThat(target.lastEndMs).isLessThanOrEqualTo(test.currentTime)
         }
 
+        @Test
+        fun `requests under way still count after a note has changed the target`() = requestPath {
+            val router = router("a")
+            val target = target("t", router) { serviceMs = { 200 } }
+            launch { router.post("/prest") }
+            delay(20)
+            configure { copy(targets = targets.mapValues { it.value.copy(slots = 4) }) }
+            launch { router.post("/prest") }
+            delay(20)
+            expectThat(target.running).isEqualTo(1)
+            router.gateway.awaitNoneRunning(TargetId("t"))
+            expectThat(test.currentTime).isGreaterThanOrEqualTo(200)
+        }
+
         @Test
         fun `a request that waits when its range starts to move is not sent`() = requestPath {
             val router = router("a")
@@ -131,6 +145,18 @@
             expectThat(outcomes.toSet()).isEqualTo(setOf("answered", "not-run"))
         }
 
+        @Test
+        fun `what cannot be served in time behind the waiting requests is refused at once`() = requestPath {
+            val router = router("a")
+            target("t", router, slots = 1) { serviceMs = { 40 } }
+            repeat(3) { router.get("/prest") }
+            repeat(4) { launch { router.post("/prest", "X-Deadline-Ms" to "170") } }
+            delay(1)
+            val startMs = test.currentTime
+            expectThat(router.post("/prest", "X-Deadline-Ms" to "180").outcome).isEqualTo("not-run")
+            expectThat(test.currentTime).isEqualTo(startMs)
+        }
+
         @Test
         fun `waiting requests are served in the order of their deadlines`() = requestPath {
             val router = router("a")
@@ -201,7 +227,7 @@
         }
 
         @Test
-        fun `a waiting request whose caller has gone is not sent`() = requestPath {
+        fun `a waiting request whose caller has gone is not sent and keeps no slot`() = requestPath {
             val router = router("a")
             val target = target("t", router, slots = 1) { serviceMs = { 50 } }
             launch { router.post("/prest", "X-Request-Id" to "r1") }
@@ -211,6 +237,7 @@
             waiting.cancel()
             delay(500)
             expectThat(target.runs).isEqualTo(mutableListOf("r1"))
+            expectThat(router.post("/prest").outcome).isEqualTo("answered")
         }
     }
 
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/routing/RoutingTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/routing/RoutingTest.kt
@@ -96,6 +96,19 @@
             expectThat(targets[0].answered / others).isLessThanOrEqualTo(0.12).isGreaterThan(0.001)
         }
 
+        @Test
+        fun `a target that was slow gets work again after it has recovered, even while the others are idle`() = requestPath {
+            val router = router("a")
+            val targets = (1..5).map { target("t$it", router) }
+            targets[0].serviceMs = { 200 }
+            repeat(300) { router.get("/prest") }
+            targets[0].serviceMs = { 10 }
+            delay(20_000)
+            val answeredBefore = targets[0].answered
+            repeat(1_000) { router.get("/prest") }
+            expectThat(targets[0].answered - answeredBefore).isGreaterThan(100)
+        }
+
         @Test
         fun `equal targets get equal work`() = requestPath {
             val router = router("a")
