--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/ManagedProcess.kt
@@ -3,6 +3,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.File
+import java.io.IOException
+import java.io.Writer
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -49,17 +51,23 @@
 
     init {
         thread(isDaemon = true, name = "output-$name") {
-            log.bufferedWriter().use { writer ->
-                process.inputStream.bufferedReader().forEachLine { line ->
-                    writer.appendLine(line)
-                    writer.flush()
-                    if (firstLine == null && line.startsWith("{\"standin\"")) firstLine = line
-                    listeners.forEach { it(line) }
-                }
+            try {
+                log.bufferedWriter().use(::copyOutput)
+            } catch (_: IOException) {
+                // Killing the process closes its output while this thread reads it.
             }
         }
     }
 
+    private fun copyOutput(writer: Writer) {
+        process.inputStream.bufferedReader().forEachLine { line ->
+            writer.appendLine(line)
+            writer.flush()
+            if (firstLine == null && line.startsWith("{\"standin\"")) firstLine = line
+            listeners.forEach { it(line) }
+        }
+    }
+
     fun onLine(listener: (String) -> Unit) {
         listeners += listener
     }
