--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/PublishCommands.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/PublishCommands.kt
@@ -141,16 +141,19 @@
             missing = state.missing,
         )
         if (state.missing.isEmpty()) {
-            print(report, "The $what is in force on ${state.inForce.size} live routers")
+            val text = if (state.inForce.isEmpty()) "accepted; no router is live, so it takes effect when routers start" else inForce(state)
+            print(report, "The $what is $text")
             return ExitStatus.DONE
         }
         val rows = state.missing.map { listOf(it.router.value, it.zone, it.host, it.reason) }
         print(report, "Not yet in force on:\n" + table(listOf("ROUTER", "ZONE", "HOST", "REASON"), rows))
         console.error(
-            "the $what is accepted and stays so, but not yet in force on ${rows.size} routers. Check these hosts; run `yuccactl status`.",
+            "the $what is accepted and stays so, but is not in force on these routers. Check their hosts with `yuccactl status`.",
         )
         return ExitStatus.UNKNOWN
     }
 
+    private fun inForce(state: RolloutState) = "in force on all ${state.inForce.size} live routers"
+
     private fun print(report: PublishReport, text: String) = console.result(PublishReport.serializer(), report) { text }
 }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/admission/AdmissionTest.kt
@@ -53,7 +53,10 @@
         @Test
         fun `the slot of a lost answer stays taken until the request is past its deadline`() = requestPath {
             val router = router("a")
-            val target = target("t", router) { onWork = { TargetFault.ANSWER_LOST }.also { serviceMs = { 10_000 } } }
+            val target = target("t", router) {
+                onWork = { TargetFault.ANSWER_LOST }
+                serviceMs = { 10_000 }
+            }
             val first = async { router.post("/prest", "X-Deadline-Ms" to "300") }
             delay(10)
             val second = router.post("/prest", "X-Deadline-Ms" to "200")
@@ -152,9 +155,19 @@
             call.cancel()
             delay(10)
             expectThat(target.cancelled).isEqualTo(mutableListOf("r1"))
-            expectThat(primary.gateway.loads().single().inFlight).isEqualTo(1)
+            expectThat(
+                primary.gateway
+                    .loads()
+                    .single()
+                    .inFlight,
+            ).isEqualTo(1)
             delay(100)
-            expectThat(primary.gateway.loads().single().inFlight).isEqualTo(0)
+            expectThat(
+                primary.gateway
+                    .loads()
+                    .single()
+                    .inFlight,
+            ).isEqualTo(0)
         }
 
         @Test
@@ -182,7 +195,11 @@
                 router.get(if (it % 4 == 0) "/katalog/hot" else "/katalog/k${it % 1_000}")
                 delay(1)
             }
-            val range = router.gateway.loads().single().ranges.single()
+            val range = router.gateway
+                .loads()
+                .single()
+                .ranges
+                .single()
             val rate = range.requestsPerSecond
             expectThat(rate).isGreaterThan(400.0).isLessThan(550.0)
             expectThat(range.hotKeys.first().key).isEqualTo("hot")
