--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Experiments.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Experiments.kt
@@ -4,6 +4,7 @@
 internal data class ExperimentSettings(
     val seed: Long,
     val deployment: Deployment,
+    val routersPerZone: Int,
     /** Repetitions of each loss, where an experiment repeats. */
     val repeats: Int,
     /** Length of each phase of load. */
