Replay whole sessions of records against golden files, and end predecessors

Five sessions (racing planners, a paused primary, two notes at once, restart from a checkpoint, a withdrawn destination) are replayed with every outcome and the resulting state as text. Handovers leave PlacementPolicy.decide for a method of their own, because the planner loop appends what decide returns at once and a handover may only be appended after sending has stopped. A router ends the live entries of its own host and peer address after the wait: routers restarted all at once had no living witnesses left that could end the old entries. A second way, ending them on the host list's word, was ruled out because that list lags.

--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementNeeds.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementNeeds.kt
@@ -5,8 +5,6 @@
     val service: ServiceName,
     val subject: String,
     val record: ControlRecord,
-    /** Only this router can append the record, so that it need not wait for others. */
-    val isOwnDuty: Boolean = false,
 )
 
 /** Remembers since when each need has been seen, and lets a need through when it is this router's turn to act on it. */
@@ -29,7 +27,7 @@
 
     private fun isDue(nowMs: Long, need: PlacementNeed, rankOfSelf: (ServiceName) -> Int?): Boolean {
         val entry = seen.getOrPut(need.service to need.subject) { Seen(nowMs, returnedAtMs = null, record = null) }
-        val rank = if (need.isOwnDuty) 0 else rankOfSelf(need.service) ?: return false
+        val rank = rankOfSelf(need.service) ?: return false
         val isTurn = nowMs - entry.sinceMs >= rank * settings.rankDelayMs
         val isRepeat = entry.record == need.record && entry.returnedAtMs?.let { nowMs - it < settings.repeatMs } == true
         if (!isTurn || isRepeat) return false
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementPolicies.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementPolicies.kt
@@ -2,10 +2,8 @@
 
 /**
  * A policy that keeps each target with a primary and each declared key with an owner that is in service, and evens out the load within
- * [settings]. It remembers what it has seen, so each router keeps one instance and calls it from one coroutine.
- *
- * Its input must come from a router whose lease is valid. A returned [ControlRecord.PrimaryAssigned] for a target whose primary is this
- * router is a handover: it may only be appended after this router has stopped sending to the target and none of its requests can run there.
+ * [settings]. It remembers what it has seen, so each router keeps one instance and calls it from one coroutine. Its input must come from a
+ * router whose lease is valid.
  */
 fun placementPolicy(settings: PlacementSettings = PlacementSettings()): PlacementPolicy = RankedPlacementPolicy(settings)
 
@@ -22,10 +20,13 @@
         // Keys without service come first, then what operators asked for, then what only improves the load.
         val needs =
             ranges.releases(view) + primaries.assignments(view) + ranges.cancels(view) + ranges.firstOwners(view) + ranges.moves(view) +
-                primaries.handovers(view) + ranges.boundarySplits(view) + loads.needs(view)
+                ranges.boundarySplits(view) + loads.needs(view)
         return ledger.due(input.nowMs, onePerRange(needs), view::rankOfSelf)
     }
 
+    override fun handovers(input: PlacementInput): List<ControlRecord.PrimaryAssigned> =
+        primaries.handovers(PlacementView(input, settings))
+
     /** Leaves out needs that concern a range for which an earlier need already plans something, since one of the two would be void. */
     private fun onePerRange(needs: List<PlacementNeed>): List<PlacementNeed> {
         val planned = mutableSetOf<Pair<ServiceName, KeyRange>>()
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementPolicy.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/PlacementPolicy.kt
@@ -23,4 +23,11 @@
      * A record that another router appends first makes this one void, which is harmless.
      */
     fun decide(input: PlacementInput): List<ControlRecord>
+
+    /**
+     * Returns targets that this router, as their live primary, should hand over, as the records to append for it. Such a record may only be
+     * appended after this router has stopped sending to the target and none of its requests can still run there. A handover that is under
+     * way is returned again until it was read back.
+     */
+    fun handovers(input: PlacementInput): List<ControlRecord.PrimaryAssigned> = emptyList()
 }
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/PrimaryPlanner.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/PrimaryPlanner.kt
@@ -22,7 +22,7 @@
      * Targets that this router, as their primary, should hand over: those of a zone that has routers of its own again, all of them when its
      * host is leaving, and single ones to a router of the zone that has fewer.
      */
-    fun handovers(view: PlacementView): List<PlacementNeed> {
+    fun handovers(view: PlacementView): List<ControlRecord.PrimaryAssigned> {
         val self = view.table.routers[view.input.self]?.takeIf { it.stage == RouterStage.LIVE } ?: return emptyList()
         val own =
             view.table.primaries.values
@@ -53,7 +53,7 @@
     }
 
     /** Hands one target to the router of the own zone with the fewest, when this router has the most and at least two more. */
-    private fun evened(view: PlacementView, self: RouterEntry, own: List<TargetSpec>): PlacementNeed? {
+    private fun evened(view: PlacementView, self: RouterEntry, own: List<TargetSpec>): ControlRecord.PrimaryAssigned? {
         val peers = view.liveRouters(self.zone).filter { it.suspicion == null && !view.isOnLeavingHost(it) }.map { it.id }
         val counts =
             view.table.primaries.values
@@ -71,11 +71,10 @@
         return handover(view, target, emptiest)
     }
 
-    private fun handover(view: PlacementView, target: TargetSpec, to: RouterId): PlacementNeed {
+    private fun handover(view: PlacementView, target: TargetSpec, to: RouterId): ControlRecord.PrimaryAssigned {
         val epoch = view.table.primaries
             .getValue(target.id)
             .epoch
-        val record = ControlRecord.PrimaryAssigned(target.id, to, epoch, view.input.self)
-        return PlacementNeed(target.service, "handover of ${target.id}", record, isOwnDuty = true)
+        return ControlRecord.PrimaryAssigned(target.id, to, epoch, view.input.self)
     }
 }
--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
@@ -9,6 +9,10 @@
 /**
  * What router [self] appends about suspicions: as a witness it suspects silent routers and records which suspicions it has read, as a
  * suspected router it cancels, and it ends leases once the wait is over.
+ *
+ * It also ends its predecessors: live entries of the same host and peer address that registered before it. Their process is gone, since
+ * this one could not listen on the address otherwise. Without this, routers that are all restarted at once could never be ended, because
+ * the witnesses of each are lost as well.
  */
 class SuspicionTracker(
     private val self: RouterId,
@@ -20,6 +24,7 @@
         var epoch: Long,
         var suspicionOffset: Long? = null,
         var readyAtMs: Long? = null,
+        var leavingAtMs: Long? = null,
     )
 
     private val watches = mutableMapOf<RouterId, Watch>()
@@ -48,6 +53,7 @@
             val offset = entry.suspicion?.offset
             if (watch.suspicionOffset != null && offset != watch.suspicionOffset) cancelled(watch, nowMs)
             watch.suspicionOffset = offset
+            if (watch.leavingAtMs == null && entry.stage == RouterStage.LEAVING) watch.leavingAtMs = nowMs
             if (watch.readyAtMs == null && table.isSuspicionRead(entry)) watch.readyAtMs = nowMs
         }
     }
@@ -73,17 +79,27 @@
         val suspicion = entry.suspicion
         return when {
             entry.id == self -> suspicion?.let { ControlRecord.SuspicionCancelled(self, it.offset) }
+            isPredecessor(table, entry) -> endOfPredecessor(nowMs, entry)
             suspicion == null ->
-                ControlRecord
-                    .Suspected(
-                        entry.id,
-                        self,
-                    ).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, table, entry) }
+                ControlRecord.Suspected(entry.id, self).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, table, entry) }
             self in entry.witnesses && self !in suspicion.readBy -> ControlRecord.SuspicionRead(entry.id, suspicion.offset, self)
             else -> ControlRecord.LeaseEnded(entry.id, suspicion.offset).takeIf { mayEnd(nowMs, table, entry, suspicion) }
         }
     }
 
+    private fun isPredecessor(table: ControlTable, entry: RouterEntry): Boolean {
+        val own = table.routers.getValue(self)
+        val isSameAddress = entry.host == own.host && entry.peerAddress == own.peerAddress && own.peerAddress.isNotEmpty()
+        return isSameAddress && entry.epoch < own.epoch
+    }
+
+    /** After the wait neither the grants of the predecessor stand nor those of a router that handed targets to it before it was leaving. */
+    private fun endOfPredecessor(nowMs: Long, entry: RouterEntry): ControlRecord? {
+        if (entry.stage == RouterStage.LIVE) return ControlRecord.RouterLeaving(entry.id)
+        val leavingAtMs = watches[entry.id]?.leavingAtMs ?: return null
+        return ControlRecord.RouterStopped(entry.id).takeIf { nowMs - leavingAtMs >= timing.endWaitMs }
+    }
+
     private fun isSilent(nowMs: Long, table: ControlTable, entry: RouterEntry): Boolean {
         val watch = watches[entry.id] ?: return false
         // A router without a live witness sends no heartbeats; if it lives, it names new witnesses within this time.
--- /dev/null
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/GoldenSessionTest.kt
@@ -0,0 +1,120 @@
+package yuccaflow.control
+
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.io.File
+
+/**
+ * Replays whole sessions of records and compares every outcome and the resulting state with the expected text beside it. A session holds
+ * `control` with a record as JSON, `unreadable` with a stream, `note` with its id and indented text, `mark` with its values, and
+ * `checkpoint`, from which a second reader starts; it must end with the same state. The replayed text is written to target/golden.
+ */
+internal class GoldenSessionTest {
+    private val sessions = listOf("racing-planners", "paused-primary", "two-notes", "checkpoint-restart", "withdrawn-destination")
+
+    @TestFactory
+    fun `guards against readers that judge records otherwise than before`(): List<DynamicTest> =
+        sessions.map { name ->
+            DynamicTest.dynamicTest(name) {
+                val actual = GoldenReplay().replay(resource("$name.session"))
+                File("target/golden").mkdirs()
+                File("target/golden/$name.expected").writeText(actual)
+                expectThat(actual).isEqualTo(resource("$name.expected"))
+            }
+        }
+
+    private fun resource(name: String): String = checkNotNull(javaClass.getResource("/golden/$name")) { "no golden file $name" }.readText()
+}
+
+/** Runs one session. */
+private class GoldenReplay {
+    private var table = emptyControlTable()
+    private var config = ConfigState.Empty
+    private var restarted: Pair<ControlTable, ConfigState>? = null
+    private val output = StringBuilder()
+
+    fun replay(session: String): String {
+        val lines = ArrayDeque(session.lines().filter { it.isNotBlank() && !it.startsWith("#") })
+        while (lines.isNotEmpty()) {
+            val words = lines.removeFirst().split(' ', limit = 2)
+            val rest = words.getOrElse(1) { "" }
+            when (words[0]) {
+                "control" -> control(Json.decodeFromString<ControlRecord>(rest))
+                "unreadable" -> if (rest == "config") config(null) else control(null)
+                "note" -> config(ConfigRecord.Note(rest, text(lines)))
+                "mark" -> config(mark(rest.split(' ')))
+                "checkpoint" -> checkpoint()
+                else -> error("unknown line in a session: ${words[0]}")
+            }
+        }
+        val state = render(table, config)
+        restarted?.let { (otherTable, otherConfig) -> expectThat(render(otherTable, otherConfig)).isEqualTo(state) }
+        return output.append("\n").append(state).toString()
+    }
+
+    private fun text(lines: ArrayDeque<String>): String {
+        val text = mutableListOf<String>()
+        while (lines.firstOrNull()?.startsWith("  ") == true) text += lines.removeFirst().trim()
+        return text.joinToString("\n")
+    }
+
+    private fun mark(values: List<String>): ConfigRecord.Mark =
+        ConfigRecord.Mark(values[0], MarkSubject.valueOf(values[1].uppercase()), values[2], leaving = values[3] == "leaving")
+
+    private fun checkpoint() {
+        val snapshot = snapshotOf(table, config)
+        val stored = decodeControlRecord(encodeControlRecord(ControlRecord.Checkpoint(snapshot))) as ControlRecord.Checkpoint
+        restarted = controlTable(stored.snapshot) to stored.snapshot.config
+        control(stored)
+    }
+
+    private fun control(record: ControlRecord?) {
+        val stored = record?.let { decodeControlRecord(encodeControlRecord(it)) }
+        val applied = table.apply(table.position + 1, stored)
+        table = applied.table
+        restarted = restarted?.let { (other, config) -> other.apply(other.position + 1, stored).table to config }
+        val kind = record?.let { it::class.simpleName } ?: "unreadable"
+        output.appendLine("control ${table.position} $kind: ${applied.voidReason?.let { "void, $it" } ?: "in force"}")
+    }
+
+    private fun config(record: ConfigRecord?) {
+        val stored = record?.let { decodeConfigRecord(encodeConfigRecord(it)) }
+        val known = config.outcomes.size
+        config = applyConfigRecord(config, config.position + 1, stored)
+        restarted = restarted?.let { (table, other) -> table to applyConfigRecord(other, other.position + 1, stored) }
+        val outcome = config.outcomes.drop(known).firstOrNull()
+        val words = outcome?.let { it.rejection?.let { reason -> "rejected, $reason" } ?: "accepted as version ${it.version}" } ?: "ignored"
+        output.appendLine("config ${config.position} ${record?.id ?: "unreadable"}: $words")
+    }
+
+    private fun render(table: ControlTable, config: ConfigState): String {
+        val snapshot = snapshotOf(table, config)
+        val routers =
+            snapshot.routers.map { router ->
+                val suspicion = router.suspicion?.let {
+                    ", suspicion ${it.offset} by ${it.by} read by ${it.readBy.sortedBy { id ->
+                        id.value
+                    }}"
+                }
+                "router ${router.id}: ${router.stage}, zone ${router.zone}, epoch ${router.epoch}, witnesses ${router.witnesses}${suspicion ?: ""}"
+            }
+        val primaries = snapshot.primaries.map { "primary of ${it.target}: ${it.router}, epoch ${it.epoch}" }
+        val ranges =
+            snapshot.ranges.map { entry ->
+                val move = entry.move?.let { ", moving to ${it.to ?: "nobody"} since ${it.epoch}" } ?: ""
+                "range ${entry.service} ${entry.range}: owner ${entry.owner}, epoch ${entry.epoch}$move"
+            }
+        val settings =
+            listOf(
+                "version ${config.version}",
+                "zones ${config.zones.keys.map { it.value }.sorted()}, leaving ${config.leavingZones.map { it.value }.sorted()}",
+                "services ${config.services.keys.map { it.value }.sorted()}",
+                "targets ${config.targets.values.map { "${it.id} at ${it.address}" }.sorted()}",
+                "declared ${config.ranges.values.map { "${it.name} ${it.range}" }.sorted()}",
+            )
+        return (listOf("position ${table.position}") + routers + primaries + ranges + settings).joinToString("\n", postfix = "\n")
+    }
+}
