--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/PrimaryPlanner.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/PrimaryPlanner.kt
@@ -64,7 +64,8 @@
         val fullest = ranked.maxByOrNull { counts[it] ?: 0 }
         val emptiest = ranked.minByOrNull { counts[it] ?: 0 }
         val isTooSoon = lastEvenedAtMs?.let { view.input.nowMs - it < settings.handoverIntervalMs } ?: false
-        if (fullest != self.id || emptiest == null || own.size < (counts[emptiest] ?: 0) + 2 || isTooSoon) return null
+        if (fullest != self.id || emptiest == null || isTooSoon) return null
+        if (own.size < (counts[emptiest] ?: 0) + 2) return null
         // The target whose hash prefers the new router most would have been given to it if it had been there.
         val target = own.filter { it.zone == self.zone }.minByOrNull { rendezvousRank(it.id.value, peers).indexOf(emptiest) } ?: return null
         lastEvenedAtMs = view.input.nowMs
