--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Imbalance.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/Imbalance.kt
@@ -18,7 +18,7 @@
         val options = ClusterOptions(ROUTERS_PER_ZONE, measured = true, seed = settings.seed, delays = false)
         withCluster(deployment, options) { cluster ->
             val mix = deployment.mix(KEYS, zipf)
-            val plan = LoadPlan(cluster.routers.map { it.plan.caller }, mix, RATE, settings.seed, optimize = true)
+            val plan = LoadPlan(cluster.routers.map { it.plan.caller }, mix = mix, rate = RATE, seed = settings.seed, optimize = true)
             val load = CallerLoad.start(cluster.group, cluster.ports, plan)
             delay(WARM_UP_MS)
             val first = imbalance(cluster, settings)
@@ -28,11 +28,13 @@
             val hottest = hottestShare(zipf) * service.targets
             report.case(
                 name,
-                "at_start" to first,
-                "after_60_s" to last,
-                "static_ranges" to static,
-                "hottest_key" to hottest,
-                "moves" to cluster.metric("yuccaflow_moves_total").toLong(),
+                mapOf(
+                    "at_start" to first,
+                    "after_60_s" to last,
+                    "static_ranges" to static,
+                    "hottest_key" to hottest,
+                    "moves" to cluster.metric("yuccaflow_moves_total").toLong(),
+                ),
             )
             report.ratio("imbalance with $name keys", last, static)
             // A key that alone exceeds the bound cannot be divided, so it sets the bound then.
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/TargetHandover.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 import yuccaflow.control.ControlRecord
 import yuccaflow.control.RouterId
@@ -16,25 +15,41 @@
 internal class TargetHandover(
     private val parts: OwnershipParts,
 ) {
-    /** Hands over all of [keepers], each as soon as none of its requests can still run. */
-    suspend fun handOver(keepers: Collection<TargetKeeper>): Unit = coroutineScope {
-        keepers.map { async { handOver(it) } }.awaitAll()
+    /** Hands over all of [keepers] because this router stops, each as soon as none of its requests can still run. */
+    suspend fun handOverAll(keepers: Collection<TargetKeeper>): Unit = coroutineScope {
+        keepers.map { keeper -> async { leave(keeper) } }.awaitAll()
     }
 
-    private suspend fun handOver(keeper: TargetKeeper) {
-        if (successor(keeper) == null) return
-        keeper.isHandingOver = true
+    private suspend fun leave(keeper: TargetKeeper) {
+        while (isPrimary(keeper)) {
+            val next = successor(keeper) ?: return
+            handOver(keeper, next)
+            if (isPrimary(keeper)) parts.timer.sleep(RETRY_PAUSE_MS)
+        }
+    }
+
+    /** Hands [keeper]'s target to [next], or serves on when that cannot be recorded. Does nothing while a handover is under way. */
+    suspend fun handOver(keeper: TargetKeeper, next: RouterId) {
+        if (!keeper.beginHandover()) return
         parts.running().awaitNoneRunning(keeper.target)
+        appendUntilKnown(keeper, next)
+        if (isPrimary(keeper)) keeper.endHandover()
+        Logger.info("target {} handed over to {}", keeper.target, parts.table.primaries[keeper.target]?.router)
+    }
+
+    /** Repeats the append while its outcome is unknown: this router may already have been replaced and must not send. */
+    private suspend fun appendUntilKnown(keeper: TargetKeeper, next: RouterId) {
+        val record = ControlRecord.PrimaryAssigned(keeper.target, next, keeper.primaryEpoch, parts.membership.routerId)
         while (isPrimary(keeper)) {
-            val next = successor(keeper) ?: break
-            val self = parts.membership.routerId
-            val result = parts.membership.append(ControlRecord.PrimaryAssigned(keeper.target, next, keeper.primaryEpoch, self))
-            if (result is AppendResult.Appended) {
-                withTimeoutOrNull(READ_TIMEOUT_MS) { parts.membership.state().first { it.table.position >= result.offset } }
+            when (val result = parts.membership.append(record)) {
+                is AppendResult.Appended -> {
+                    parts.membership.state().first { it.table.position >= result.offset }
+                    return
+                }
+                is AppendResult.NotAppended -> return
+                is AppendResult.AppendUnknown -> parts.timer.sleep(REPEAT_PAUSE_MS)
             }
-            if (isPrimary(keeper)) parts.timer.sleep(REPEAT_PAUSE_MS)
         }
-        Logger.info("target {} handed over to {}", keeper.target, parts.table.primaries[keeper.target]?.router)
     }
 
     private fun isPrimary(keeper: TargetKeeper): Boolean {
@@ -51,7 +66,7 @@
     }
 
     private companion object {
-        const val READ_TIMEOUT_MS = 1_000L
         const val REPEAT_PAUSE_MS = 100L
+        const val RETRY_PAUSE_MS = 500L
     }
 }
