--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/LoadCollector.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/ownership/LoadCollector.kt
@@ -47,7 +47,9 @@
 
     private fun primariesToAsk(): Set<RouterId> {
         val state = parts.membership.state().value
-        val planned = state.config.services.keys.filter(isPlanner).toSet()
+        val planned = state.config.services.keys
+            .filter(isPlanner)
+            .toSet()
         return state.config.targets.values
             .filter { it.service in planned }
             .mapNotNull { state.table.primaries[it.id]?.router }
