--- a/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
+++ b/yuccaflow-control/src/main/kotlin/yuccaflow/control/SuspicionTracker.kt
@@ -74,11 +74,7 @@
         return when {
             entry.id == self -> suspicion?.let { ControlRecord.SuspicionCancelled(self, it.offset) }
             suspicion == null ->
-                ControlRecord
-                    .Suspected(
-                        entry.id,
-                        self,
-                    ).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, table, entry) }
+                ControlRecord.Suspected(entry.id, self).takeIf { table.maySuspect(self, entry) && isSilent(nowMs, table, entry) }
             self in entry.witnesses && self !in suspicion.readBy -> ControlRecord.SuspicionRead(entry.id, suspicion.offset, self)
             else -> ControlRecord.LeaseEnded(entry.id, suspicion.offset).takeIf { mayEnd(nowMs, table, entry, suspicion) }
         }
