Change witnesses in the simulation only while the log can be reached

An append that certainly failed changes nothing, so the simulated routers now keep their witnesses through a cut as the product does. Before that, every cut router fell back to log confirmation and lost its lease, which hid the mutants on witnesses.

--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/SimRouter.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/SimRouter.kt
@@ -281,7 +281,8 @@
     private fun isPrimaryLive(target: TargetId): Boolean = table.primaries[target]?.let { table.isLive(it.router) } ?: false
 
     private fun maintainMembership() {
-        if (lease.hasEnded) return
+        // While the log cannot be reached an append certainly fails, so that no change is under way.
+        if (lease.hasEnded || !world.reachesLog(this)) return
         val entry = table.routers[id]
         val wanted = chooseWitnesses(id, zone, table.routers.values)
         if (entry == null) {
--- a/yuccaflow-control/src/test/kotlin/yuccaflow/control/StrandedLeaseProperties.kt
+++ b/yuccaflow-control/src/test/kotlin/yuccaflow/control/StrandedLeaseProperties.kt
@@ -9,7 +9,7 @@
 import kotlin.random.Random
 
 /**
- * Schedules of four routers in which all but one lose the log and that one directly after the lease of a router was ended. The others can
+ * Schedules of four routers in which all but one lose the log and that one directly after the lease of a router was ended, or without that. The others can
  * still reach each other, and the ended router may wake among them with what it had read before. Random schedules rarely get there.
  */
 internal class StrandedLeaseProperties {
@@ -26,7 +26,11 @@
         }
         world.runUntil(3_000)
         val (victim, kept) = world.routers.shuffled(world.random)
-        if (world.random.nextInt(3) == 0) victim.kill() else victim.pause(world.random.nextLong(2_200, 3_600))
+        when (world.random.nextInt(3)) {
+            0 -> strand(world, kept)
+            1 -> victim.kill()
+            else -> victim.pause(world.random.nextLong(2_200, 3_600))
+        }
         strandWhenEnded(world, victim, kept)
         world.runUntil(12_000)
         strandedTotals(world)
@@ -38,17 +42,19 @@
             if (victim.id !in world.endedAtMs) {
                 strandWhenEnded(world, victim, kept)
             } else {
-                world.after(world.random.nextLong(0, 250)) {
-                    for (router in world.routers.filter { it !== kept }) {
-                        world.cut(router.host, "log", STRANDED_MS)
-                        world.cut(router.host, kept.host, STRANDED_MS)
-                        world.cut(kept.host, router.host, STRANDED_MS)
-                    }
-                }
+                world.after(world.random.nextLong(0, 250)) { strand(world, kept) }
             }
         }
     }
 
+    private fun strand(world: SimWorld, kept: SimRouter) {
+        for (router in world.routers.filter { it !== kept }) {
+            world.cut(router.host, "log", STRANDED_MS)
+            world.cut(router.host, kept.host, STRANDED_MS)
+            world.cut(kept.host, router.host, STRANDED_MS)
+        }
+    }
+
     private fun strandedTotals(world: SimWorld) {
         schedules++
         if (world.violations.isNotEmpty()) failed++
