--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/TargetBook.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/TargetBook.kt
@@ -110,7 +110,7 @@
         return Cost(serviceMs * maxOf(1.0, (1 + ahead) / slots), ahead / slots)
     }
 
-    /** The target's speed as far as it differs clearly from the others, since small differences are noise that would attract all requests. */
+    /** The target's speed where it differs clearly from the others; small differences are noise that would attract all requests. */
     private fun serviceTimeMs(load: TargetLoad, ageMs: Double, typicalMs: Double): Double {
         val trust = halved(ageMs, SPEED_HALF_LIFE_MS)
         val serviceMs = load.serviceTimeMs * trust + typicalMs * (1 - trust)
