--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeSystem.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/fake/FakeSystem.kt
@@ -118,14 +118,20 @@
     }
 
     /** Keys for which work ran at two targets at once, or at an owner after a later one had begun. */
-    fun doubleRuns(): List<String> = targets.values.flatMap { it.runs }.groupBy { it.requestId.substringBefore('-') }.flatMap { (key, runs) ->
-        runs
-            .sortedBy { it.startMs }
-            .zipWithNext()
-            .filter { (first, second) -> second.epoch < first.epoch || (first.target != second.target && second.startMs < first.endMs) }
-            .map { (first, second) -> "key $key: $first, $second" }
+    fun doubleRuns(): List<String> {
+        val byKey = targets.values.flatMap { it.runs }.groupBy { it.requestId.substringBefore('-') }
+        return byKey.flatMap { (key, runs) ->
+            runs
+                .sortedBy { it.startMs }
+                .zipWithNext()
+                .filter { (first, second) -> isDouble(first, second) }
+                .map { "key $key: $it" }
+        }
     }
 
+    private fun isDouble(first: FakeRun, second: FakeRun): Boolean =
+        second.epoch < first.epoch || (first.target != second.target && second.startMs < first.endMs)
+
     private suspend fun call(key: String) {
         val table = world.log.table()
         val atMs = world.timer.nowMs()
