--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/TableCost.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/TableCost.kt
@@ -20,6 +20,7 @@
 private const val MOVES = 2_000
 private const val NANOS_PER_US = 1_000.0
 private const val KEY_DIGITS = 9
+private const val GC_RUNS = 3
 private const val SERVICE = "katalog"
 
 /** Ranges for one, four and ten ranges on each of 4,900 targets, 10 targets to a router at the size to design for. */
@@ -105,6 +106,6 @@
 }
 
 private fun usedBytes(): Long {
-    repeat(3) { System.gc() }
+    repeat(GC_RUNS) { System.gc() }
     return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
 }
