Abort connections to targets, so that a given-up grant does not arrive later

The connection was closed in order, so the system went on sending the bytes; they arrived at 37.95 s, after the cut, when the keys had another owner. Later renewals were not sent, so the hold was counted from 31.65 s and had ended at 37.0 s.

Ruled out: a replaced task's grant waiting for its turn (no such grant in the log; a test shows that it can happen, and it is closed here too), orders of a former planner (one planner until 42 s).

- Client connections linger for 0 s: a close drops what has not arrived.
- A hold is counted from the latest arrival of its grant, not from the send.
- A grant that waits for its turn is not sent once its range is replaced.
- A planner that resigns stops its orders before the record is given up.

Tests failed first: HttpClientTest (2), RangeKeeperTest (replaced range).

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOrders.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOrders.kt
@@ -61,7 +61,12 @@
     suspend fun release(target: OrderAddress, span: KeySpan): KeyOrderResult?
 }
 
-/** Orders to a target about the keys that it holds. */
+/**
+ * Orders to a target about the keys that it holds.
+ *
+ * An order that has no answer after its time is given up and does not arrive any more. One that arrived before may be carried out seconds
+ * later.
+ */
 interface KeyOrders {
     /** Grants [span] for [holdMs] from the arrival of the order, or renews the grant. */
     suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long): KeyOrderResult
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -52,10 +52,11 @@
         records.onChange { wakeUp.trySend(Unit) }
     }
 
-    /** Lets another router take over, and stops giving orders if one can. */
+    /** Stops giving orders and lets another router take over. Goes on when the store does not take the resignation. */
     suspend fun resign() {
+        hasResigned = true
+        keeper.stop()
         hasResigned = parts.election.resign()
-        if (hasResigned) keeper.stop()
     }
 
     override fun mayOrder(): Boolean = !hasResigned && parts.authority.isValid()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeySettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeySettings.kt
@@ -8,6 +8,7 @@
  * @property renewMs time between renewals.
  * @property authorityMs how long the planner may act after a read that showed no other planner. It bounds how long the keys are renewed
  * while the store is down, and how long a successor waits before it moves keys.
+ * @property orderTimeoutMs how long a grant may be on its way; then it is given up.
  * @property memberTtlMs how long a silent router stays in the group.
  * @property confirmGatherMs pause after a target has confirmed a grant, which lets one append tell of several.
  * @property clockDrift how much slower another process's clock may run.
@@ -30,7 +31,7 @@
     val clockDrift: Double = 0.02,
     val marginMs: Long = 100,
 ) {
-    /** How long a grant may last on a slow clock, counted from when it was sent. */
+    /** How long a grant may last on a slow clock, counted from when it arrived. */
     val longestHoldMs: Long get() = (holdMs * (1 + 2 * clockDrift)).toLong() + marginMs
 
     /** How long another planner may act after the store has answered that it is replaced. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -127,7 +127,7 @@
         val hasEnded = former == null || former.isVacant || former.node == node
         val formerEndsAtMs = if (hasEnded) nowMs else nowMs + settings.longestAuthorityMs
         movesAllowedAtMs = formerEndsAtMs
-        formerGrantsEndAtMs = if (former == null) nowMs else formerEndsAtMs + settings.longestHoldMs
+        formerGrantsEndAtMs = if (former == null) nowMs else formerEndsAtMs + settings.orderTimeoutMs + settings.longestHoldMs
     }
 
     private fun noteJoined(result: JoinResult.Joined, startedAtMs: Long) {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -44,7 +45,9 @@
 ) {
     private val tasks = HashMap<Assignment, Job>()
     private val locks = HashMap<Long, Mutex>()
-    private val sentAtMs = HashMap<Long, Long>()
+
+    /** By generation, until when a grant that was sent may arrive at the target. */
+    private val arrivesByMs = HashMap<Long, Long>()
     private val renewedAtMs = HashMap<Long, Long>()
     private val lost = HashMap<Holder, Long>()
     private val fenced = HashSet<Assignment>()
@@ -56,7 +59,7 @@
         replaced.forEach { tasks.remove(it)?.cancel() }
         fenced.retainAll(wanted)
         val generations = wanted.flatMap { it.formers.map { former -> former.generation } + it.generation }.toSet()
-        sentAtMs.keys.retainAll(generations)
+        arrivesByMs.keys.retainAll(generations)
         renewedAtMs.keys.retainAll(generations)
         locks.keys.retainAll(generations)
         wanted.filter { it !in tasks }.forEach { assignment -> tasks[assignment] = scope.launch { carryOut(assignment) } }
@@ -158,10 +161,12 @@
         awaitStanding { standing.mayOrder() }
         val target = addressOf(assignment.holder)
         val span = KeySpan(assignment.from, assignment.to, assignment.generation)
+        val task = currentCoroutineContext()[Job]
         // A grant that has left is waited for even if the assignment is replaced meanwhile, so that a release can follow it.
         val result = withContext(NonCancellable) {
             lockOf(assignment.generation).withLock {
-                if (!standing.mayOrder()) return@withLock KeyOrderResult.NoAnswer("the authority has expired")
+                if (!standing.mayOrder()) return@withLock KeyOrderResult.NotSent("the authority has expired")
+                if (task?.isActive == false) return@withLock KeyOrderResult.NotSent("the assignment was replaced")
                 send(target, span, handover)
             }
         }
@@ -175,12 +180,14 @@
     }
 
     private suspend fun send(target: OrderAddress, span: KeySpan, handover: String?): KeyOrderResult {
-        val sentBeforeMs = sentAtMs[span.generation]
-        sentAtMs[span.generation] = timer.nowMs()
+        val earlierMs = arrivesByMs[span.generation]
+        arrivesByMs[span.generation] = timer.nowMs() + settings.orderTimeoutMs
         val result = orders.grant(target, span, settings.holdMs, handover, settings.orderTimeoutMs)
-        val hasLeft = result !is KeyOrderResult.NotSent && result !is KeyOrderResult.ConnectionRefused
-        if (!hasLeft) {
-            if (sentBeforeMs == null) sentAtMs -= span.generation else sentAtMs[span.generation] = sentBeforeMs
+        when (result) {
+            is KeyOrderResult.NotSent, is KeyOrderResult.ConnectionRefused ->
+                if (earlierMs == null) arrivesByMs -= span.generation else arrivesByMs[span.generation] = earlierMs
+            is KeyOrderResult.NoAnswer -> Unit
+            else -> arrivesByMs[span.generation] = timer.nowMs()
         }
         return result
     }
@@ -197,7 +204,7 @@
     }
 
     private fun holdEndsAtMs(former: FormerHolder): Long {
-        val ownEndMs = sentAtMs[former.generation]?.let { it + settings.longestHoldMs } ?: Long.MIN_VALUE
+        val ownEndMs = arrivesByMs[former.generation]?.let { it + settings.longestHoldMs } ?: Long.MIN_VALUE
         return maxOf(ownEndMs, standing.formerGrantsEndAtMs(former.generation))
     }
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/HoldingTargets.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/HoldingTargets.kt
@@ -92,8 +92,7 @@
     fun orders(isCut: (String) -> Boolean): KeyOrders = object : KeyOrders {
         override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long): KeyOrderResult {
             grants++
-            val arrivedAtMs = timer.nowMs()
-            return deliver(target, isCut, timeoutMs) { life ->
+            return deliver(target, isCut, timeoutMs) { life, arrivedAtMs ->
                 // The target's clock may run 2% slow.
                 val untilMs = arrivedAtMs + (holdMs * SLOW_CLOCK).toLong()
                 if (untilMs <= timer.nowMs() || life.grant(span, untilMs)) KeyOrderResult.Done(null) else KeyOrderResult.Fenced
@@ -101,7 +100,7 @@
         }
 
         override suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long): KeyOrderResult =
-            deliver(target, isCut, timeoutMs) { life ->
+            deliver(target, isCut, timeoutMs) { life, _ ->
                 life.release(span)
                 KeyOrderResult.Done("handover")
             }
@@ -111,7 +110,7 @@
         target: OrderAddress,
         isCut: (String) -> Boolean,
         timeoutMs: Long,
-        carryOut: (Life) -> KeyOrderResult,
+        carryOut: (Life, Long) -> KeyOrderResult,
     ): KeyOrderResult {
         delay(1)
         if (isCut(target.target)) {
@@ -124,16 +123,19 @@
         if (life == null) return KeyOrderResult.ConnectionRefused("refused")
         if (life.entry.id != target.target) return KeyOrderResult.OtherTarget(life.entry.id)
         if (random.nextDouble() < lateShare) {
-            if (random.nextBoolean()) {
-                scope.launch {
-                    delay(random.nextLong(LATEST_MS))
-                    if (life.isUp) carryOut(life)
-                }
-            }
+            if (random.nextBoolean()) scope.launch { carryOutLate(life, timeoutMs, carryOut) }
             delay(timeoutMs)
             return KeyOrderResult.NoAnswer("late")
         }
-        return carryOut(life)
+        return carryOut(life, timer.nowMs())
+    }
+
+    /** The order arrives at any time until the sender gives it up, and is carried out any time later. */
+    private suspend fun carryOutLate(life: Life, timeoutMs: Long, carryOut: (Life, Long) -> KeyOrderResult) {
+        delay(random.nextLong(timeoutMs))
+        val arrivedAtMs = timer.nowMs()
+        delay(random.nextLong(LATEST_MS))
+        if (life.isUp) carryOut(life, arrivedAtMs)
     }
 
     private companion object {
--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
@@ -0,0 +1,111 @@
+package yuccaflow.entry.keys
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isNotEmpty
+import yuccaflow.entry.config.OperatorState
+import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.fake.FakeRecords
+import yuccaflow.entry.fake.KEYED_SERVICE
+import yuccaflow.entry.fake.RecordingLog
+import yuccaflow.entry.fake.VirtualTimer
+
+@DisplayName("The keeper of key ranges")
+class RangeKeeperTest {
+    private val scheduler = TestCoroutineScheduler()
+    private val timer = VirtualTimer(scheduler)
+    private val scope = CoroutineScope(StandardTestDispatcher(scheduler))
+    private val log = RecordingLog()
+    private val settings = KeySettings()
+    private val sent = ArrayList<Sent>()
+    private var answer: KeyOrderResult = KeyOrderResult.Done(null)
+
+    private class Sent(
+        val order: String,
+        val target: String,
+        val generation: Long,
+        val startedAtMs: Long,
+        val givenUpAtMs: Long,
+    )
+
+    /** Orders to `t0` end as [answer] says, after their whole time if there is none; the others are carried out. */
+    private val orders = object : KeyOrders {
+        override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long) =
+            send("grant", target, span, timeoutMs)
+
+        override suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long) = send("release", target, span, timeoutMs)
+
+        private suspend fun send(order: String, target: OrderAddress, span: KeySpan, timeoutMs: Long): KeyOrderResult {
+            val startedAtMs = timer.nowMs()
+            val result = if (target.target == "t0") answer else KeyOrderResult.Done(null)
+            delay(if (result is KeyOrderResult.Done) 1 else timeoutMs)
+            sent += Sent(order, target.target, span.generation, startedAtMs, timer.nowMs())
+            return result
+        }
+    }
+
+    private val standing = object : PlannerStanding {
+        override fun mayOrder() = true
+
+        override fun mayMove() = true
+
+        override fun formerGrantsEndAtMs(generation: Long) = Long.MIN_VALUE
+
+        override fun confirmed(assignment: Assignment) = Unit
+    }
+
+    private val operators = OperatorState(FakeRecords, timer, log)
+    private val directory = TargetDirectory(FakeRecords, operators, timer, log) { null }
+    private val keeper = RangeKeeper("a", directory, orders, { _, _ -> null }, timer, settings, log, standing)
+
+    private fun assignment(number: Int, generation: Long, from: Int = 0, to: Int = 99, formers: List<FormerHolder> = emptyList()) =
+        Assignment(KEYED_SERVICE, from, to, holderOf(FakeRecords.entry("t$number", number + 1)), generation, formers, isMoving = true)
+
+    private fun movedFrom(former: Assignment, number: Int, generation: Long) =
+        assignment(number, generation, former.from, former.to, listOf(FormerHolder(former.holder, former.generation)))
+
+    private fun advance(ms: Long) {
+        scheduler.advanceTimeBy(ms)
+        scheduler.runCurrent()
+    }
+
+    @AfterEach
+    fun stop() = scope.cancel()
+
+    /** Guards against a new holder while a grant that arrived late, shortly before it was given up, still lasts at the former one. */
+    @Test
+    fun `counts a hold from the latest moment at which its unanswered grant may have arrived`() {
+        answer = KeyOrderResult.NoAnswer("silent")
+        val first = assignment(0, 5)
+        keeper.keep(scope, listOf(first))
+        advance(100)
+        keeper.keep(scope, listOf(movedFrom(first, 1, 9)))
+        advance(20_000)
+        val lastGivenUpAtMs = sent.filter { it.target == "t0" && it.order == "grant" }.maxOf { it.givenUpAtMs }
+        val granted = sent.first { it.target == "t1" }
+        expectThat(granted.startedAtMs).isGreaterThanOrEqualTo(lastGivenUpAtMs + settings.holdMs)
+    }
+
+    /** Guards against the grant of a replaced range that waited for its turn and leaves when the keys have another holder. */
+    @Test
+    fun `does not send a grant that waits for its turn when its range is replaced`() {
+        answer = KeyOrderResult.NotSent("cut")
+        val parts = (0..9).map { assignment(0, 5, from = it * 10, to = it * 10 + 9) }
+        keeper.keep(scope, parts)
+        advance(100)
+        val replacedAtMs = timer.nowMs()
+        keeper.keep(scope, parts.mapIndexed { index, part -> movedFrom(part, 1, 9L + index) })
+        advance(20_000)
+        expectThat(sent.filter { it.target == "t0" && it.order == "grant" && it.startedAtMs > replacedAtMs }).isEmpty()
+        expectThat(sent.filter { it.target == "t1" }).isNotEmpty()
+    }
+}
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
@@ -63,6 +63,8 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
+            // Closing, also by the end of the process, drops what has not arrived. Otherwise the system would go on sending it.
+            .option(ChannelOption.SO_LINGER, 0)
             .handler(Pipeline(inbox))
         settings.keepAliveProbes?.options()?.forEach { (option, value) -> bootstrap.setOption(option, value) }
         val connecting = bootstrap.connect(address.toInet())
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -50,7 +50,8 @@
 /**
  * A pooled HTTP/1.1 client that sends one request at a time on a connection.
  *
- * A connection whose answer is late, missing, cancelled or not matched is closed and never reused.
+ * A connection whose answer is late, missing, cancelled or not matched is aborted and never reused, so no byte of the request arrives
+ * after the result, except those that are on the network already.
  */
 interface HttpClient {
     /**
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -14,6 +14,8 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -130,6 +132,39 @@
         }
     }
 
+    @Nested
+    @DisplayName("aborts the connection of a request without an answer")
+    inner class Aborts {
+        private val arrived = CountDownLatch(1)
+        private val end = CompletableFuture<Result<Int>>()
+
+        private fun serveWithoutAnswer() = serve { socket, _ ->
+            socket.readRequest()
+            arrived.countDown()
+            end.complete(runCatching { socket.getInputStream().read() })
+        }
+
+        /** Guards against bytes that the system sends again after a partition, seconds after the request was given up. */
+        @Test
+        fun `when its time is over`() {
+            serveWithoutAnswer()
+            expectThat(send(timeoutMs = 100)).isA<HttpResult.Unknown>()
+            expectThat(end.get().exceptionOrNull()).isA<SocketException>()
+        }
+
+        /** Guards against the same for a caller that left. */
+        @Test
+        fun `when it is cancelled`() {
+            serveWithoutAnswer()
+            runBlocking {
+                val sending = launch(Dispatchers.IO) { client.send(address, get, LONG_MS) }
+                arrived.await()
+                sending.cancel()
+            }
+            expectThat(end.get().exceptionOrNull()).isA<SocketException>()
+        }
+    }
+
     @Nested
     @DisplayName("reports Unknown once bytes left")
     inner class Unknown {
