--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlanningRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlanningRouter.kt
@@ -9,7 +9,7 @@
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.RecordingLog
-import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.fake.SuspendableProcess
 import yuccaflow.entry.store.FollowerSettings
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.StreamFollower
@@ -19,11 +19,12 @@
     val node: String,
     life: String,
     val store: FakeStore,
-    timer: VirtualTimer,
+    val process: SuspendableProcess,
     targets: HoldingTargets,
     isCutFrom: (String) -> Boolean,
 ) {
     val log = RecordingLog()
+    private val timer = process
     private val settings = KeySettings()
     private val operators = OperatorState(FakeRecords, timer, log)
     private val directory: TargetDirectory = TargetDirectory(FakeRecords, operators, timer, log) { targetsFollower.failedAtMs }
@@ -35,7 +36,7 @@
         FollowerSettings(waitMs = if (authority.isRecorded) settings.confirmMs else FollowerSettings().waitMs)
     }
     val authority: PlannerAuthority =
-        PlannerAuthority(node, life, records, timer, timer::nowMs, settings, log) { recordsFollower.confirmedAtMs }
+        PlannerAuthority(node, life, records, timer, process::timeOfDayMs, settings, log) { recordsFollower.confirmedAtMs }
     private val election = PlannerElection(node, life, store, store, records, timer, settings, log)
     private val planner = KeyPlanner(
         PlannerParts(
@@ -57,7 +58,7 @@
     private var job: Job? = null
 
     fun start(scope: CoroutineScope) {
-        job = scope.launch {
+        job = scope.launch(process.dispatcher) {
             launch { operatorsFollower.run() }
             launch { targetsFollower.run() }
             launch { recordsFollower.run() }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestCoroutineScheduler
@@ -16,6 +17,7 @@
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.KEYED_SERVICE
+import yuccaflow.entry.fake.SuspendableProcess
 import yuccaflow.entry.fake.VirtualTimer
 import yuccaflow.entry.store.KeyedStream
 import kotlin.random.Random
@@ -43,7 +45,10 @@
         }
 
         fun startRouter(node: String) {
-            val router = PlanningRouter(node, "life${lives++}", FakeStore(data), timer, targets) { (node to it) in cuts }
+            val router = PlanningRouter(node, "life${lives++}", FakeStore(data), SuspendableProcess(scheduler), targets) {
+                (node to it) in
+                    cuts
+            }
             routers[node] = router
             router.start(scope)
         }
@@ -64,6 +69,15 @@
 
         private fun holdersOf(key: Int) = targets.lives.count { it.holds(KeySpan(key, key, 0)) }
 
+        /** Suspends the router for [ms]; its steady clock [standsStill] or goes on. */
+        fun suspend(router: PlanningRouter, ms: Long, standsStill: Boolean) {
+            router.process.suspend()
+            scope.launch {
+                delay(ms)
+                router.process.resume(if (standsStill) ms else 0)
+            }
+        }
+
         fun planner(): PlanningRouter? = routers.values.firstOrNull { it.authority.isValid() }
 
         fun close() = scope.cancel()
@@ -184,7 +198,7 @@
     private fun World.randomFault() {
         val node = routers.keys.random(random)
         val target = targets.lives.random(random)
-        when (random.nextInt(11)) {
+        when (random.nextInt(12)) {
             0 -> routers.getValue(node).kill().also { startRouter(node) }
             1 -> routers.getValue(node).store.isCut = true
             2 -> routers.values.forEach { it.store.isCut = false }
@@ -194,6 +208,7 @@
             6 -> targets.lateShare = if (random.nextBoolean()) 0.0 else 0.5
             9 -> targets.cutsKeepOrders = random.nextBoolean()
             8 -> targets.cutsReset = random.nextBoolean()
+            10 -> suspend(routers.getValue(node), random.nextLong(LONGEST_SUSPENSION_MS), standsStill = random.nextBoolean())
             7 -> routers.getValue(node).store.losesAnswers = random.nextBoolean()
             else -> {
                 targets.lives.filter { it.entry.id == target.entry.id }.forEach { it.isUp = false }
@@ -254,6 +269,26 @@
         expectThat(heldKeys()).isEqualTo(LAST_KEY + 1)
     }
 
+    /** Guards against a planner that wakes, believes that no time has passed, and renews what its successor has given away. */
+    @Test
+    fun `a planner that was suspended gives no order when it wakes`() {
+        for (standsStill in listOf(true, false)) {
+            world(11) {
+                advance(6_000)
+                val former = planner()!!
+                // The successor cannot tell the target, so it waits for the end of the grant.
+                cuts += (routers.keys - former.node).map { it to "t0" }
+                removeEntry(targets.lives.first { it.entry.id == "t0" })
+                suspend(former, 20_000, standsStill)
+                advance(19_900)
+                expectThat(planner()?.node == former.node).isEqualTo(false)
+                advance(10_000)
+                expectThat(targets.violations).isEmpty()
+                expectThat(heldKeys()).isEqualTo(LAST_KEY + 1)
+            }
+        }
+    }
+
     /** Guards against ranges that move without a need: each move makes the keys slow and is paid for. */
     @Test
     fun `a crash of one target moves only its own keys`() = world(7) {
@@ -275,5 +310,6 @@
     private companion object {
         const val SCHEDULES = 60
         const val FAULTS_PER_SCHEDULE = 14
+        const val LONGEST_SUSPENSION_MS = 15_000L
     }
 }
