Ask the recorded planner before another router takes its role

The group lists only members that hold a part of its work; a member that joined lately, or one of more members than parts, is not listed, and was taken for lost.

A candidate now also asks the planner's router whether it acts.

Ruled out: a change of the group's time to live (the planner was in time). Test failed first: SoleOwnershipTest, "a planner without a part of the work of the group stays the planner".

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -29,6 +29,7 @@
 import yuccaflow.entry.peer.DirectAccess
 import yuccaflow.entry.peer.RelayClient
 import yuccaflow.entry.peer.RelayedAccess
+import yuccaflow.entry.peer.RelayedProbe
 import yuccaflow.entry.peer.RelayedRelease
 import yuccaflow.entry.peer.SampleReporter
 import yuccaflow.entry.peer.relayHandler
@@ -121,7 +122,17 @@
         recordsFollower.confirmedAtMs
     }
     private val election =
-        PlannerElection(settings.node, life, access, access, records, timer, keySettings, events)
+        PlannerElection(
+            settings.node,
+            life,
+            access,
+            access,
+            RelayedProbe(relayClient, records::relayOf),
+            records,
+            timer,
+            keySettings,
+            events,
+        )
     private val keyLoads = KeyLoads(timer)
     private val meters = RouterMeters(settings.node, settings.zone)
     private val budgets = HashMap<String, RepeatBudget>()
@@ -142,7 +153,8 @@
         val callers = httpServer(settings.callerListen, dispatcher, ::callerLimits, requestRouter())
         val readiness = httpServer(settings.readyListen, dispatcher, { HttpServerLimits() }, HttpHandler { readinessAnswer(it.path) })
         val metrics = httpServer(settings.metricsListen, dispatcher, { HttpServerLimits() }, HttpHandler { metricsAnswer(it.path) })
-        val relays = httpServer(settings.relayListen, dispatcher, ::relayLimits, relayHandler(directAccess, keyLoads, platform.keyOrders))
+        val relayCalls = relayHandler(directAccess, keyLoads, platform.keyOrders, authority::isActing)
+        val relays = httpServer(settings.relayListen, dispatcher, ::relayLimits, relayCalls)
         withContext(dispatcher) {
             startParts(stop)
             stop.join()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
@@ -29,6 +29,9 @@
     /** Tells whether the newest planner record names this life of this router. */
     val isRecorded: Boolean get() = records.planner?.let { it.node == node && it.life == life } ?: false
 
+    /** Tells whether this router may act as planner in its life [life]. */
+    fun isActing(life: String): Boolean = life == this.life && isValid()
+
     /** Tells whether an order may be sent now. */
     fun isValid(): Boolean {
         voidAfterSuspension()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -9,15 +9,23 @@
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 
+/** Asks another router about its work as planner. */
+internal fun interface PlannerProbe {
+    /** Returns true when [planner] answers that it acts as planner in this life, false otherwise and when it does not answer. */
+    suspend fun isActing(planner: PlannerTerm): Boolean
+}
+
 /**
  * Decides which router plans. The group of live routers names one candidate; it claims the planner record by a conditional append when
- * there is no planner, or when the recorded one is no longer in the group. Only the record counts: two candidates at once are harmless.
+ * there is no planner, or when the recorded one neither has a part of the group's work nor answers that it acts. Only the record counts: two
+ * candidates at once are harmless.
  */
 internal class PlannerElection(
     private val node: String,
     private val life: String,
     private val group: MemberGroup,
     private val store: KeyedStore,
+    private val probe: PlannerProbe,
     private val records: RouterRecords,
     private val timer: TimerService,
     private val settings: KeySettings,
@@ -94,7 +102,8 @@
     private suspend fun isAlive(planner: PlannerTerm?): Boolean {
         if (planner == null || planner.isVacant) return false
         val members = group.members() ?: return true
-        return memberName(planner.node, planner.life) in members
+        // The group names no member that has no part of its work, as the ones that joined last.
+        return memberName(planner.node, planner.life) in members || probe.isActing(planner)
     }
 
     private suspend fun claim(former: PlannerTerm?, end: Long): Boolean {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RouterRecords.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RouterRecords.kt
@@ -66,10 +66,10 @@
     fun hasMember(member: Member): Boolean = members[member.node] == member
 
     /** The relay address of the planner, or null when it is [exceptNode] or not known. */
-    fun plannerRelay(exceptNode: String): SocketAddress? {
-        val node = planner?.node?.takeIf { it != exceptNode } ?: return null
-        return members[node]?.let { SocketAddress.parseOrNull(it.relay) }
-    }
+    fun plannerRelay(exceptNode: String): SocketAddress? = planner?.node?.takeIf { it != exceptNode }?.let(::relayOf)
+
+    /** The relay address of [node], or null. */
+    fun relayOf(node: String): SocketAddress? = members[node]?.let { SocketAddress.parseOrNull(it.relay) }
 
     /** The relay addresses of the routers in [zone], other than [exceptNode]. */
     fun relaysIn(zone: String, exceptNode: String): List<SocketAddress> =
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -54,11 +54,16 @@
 }
 
 /**
- * The handler that makes other routers' calls through [direct], as long as this router itself is served, takes their [loads], and gives
- * [orders] to targets for them.
+ * The handler that makes other routers' calls through [direct], as long as this router itself is served, takes their [loads], gives
+ * [orders] to targets for them, and tells whether this router acts as planner in a life by [isActing].
  */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun relayHandler(direct: DirectAccess, loads: KeyLoads, orders: KeyOrders): HttpHandler = HttpHandler { request ->
+internal fun relayHandler(
+    direct: DirectAccess,
+    loads: KeyLoads,
+    orders: KeyOrders,
+    isActing: (String) -> Boolean,
+): HttpHandler = HttpHandler { request ->
     val call = try {
         CBOR.decodeFromByteArray(RelayCall.serializer(), request.body)
     } catch (invalid: SerializationException) {
@@ -67,6 +72,7 @@
     val answer = when {
         call is RelayCall.KeySamples -> RelayAnswer.Done.also { loads.takeReport(call.node, call.keys) }
         call is RelayCall.Release -> release(orders, call)
+        call is RelayCall.PlannerState -> RelayAnswer.PlannerState(isActing(call.life))
         direct.isServed -> direct.carryOut(call)
         else -> RelayAnswer.NotServed
     }
@@ -92,6 +98,6 @@
         leave(call.member)
         RelayAnswer.Done
     }
-    is RelayCall.KeySamples, is RelayCall.Release -> RelayAnswer.NotServed
+    is RelayCall.KeySamples, is RelayCall.Release, is RelayCall.PlannerState -> RelayAnswer.NotServed
     RelayCall.Members -> members()?.let { RelayAnswer.MemberList(it) } ?: RelayAnswer.NotServed
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -57,6 +57,12 @@
         val generation: Long,
     ) : RelayCall
 
+    /** Ask whether the asked router acts as planner in its life [life]. */
+    @Serializable
+    class PlannerState(
+        val life: String,
+    ) : RelayCall
+
     /** The keys that router [node] has seen requests for, by service. It is for the asked router itself. */
     @Serializable
     class KeySamples(
@@ -101,6 +107,11 @@
     @Serializable
     data object Done : RelayAnswer
 
+    @Serializable
+    class PlannerState(
+        val isActing: Boolean,
+    ) : RelayAnswer
+
     /** The target has released the keys. */
     @Serializable
     class Released(
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -22,6 +22,9 @@
     val records = KeyedStream.entries.associateWith { ArrayList<KeyedRecord>() }
     val version = MutableStateFlow(0)
     val memberSeenAtMs = LinkedHashMap<String, Long>()
+
+    /** How many members have a part of the group's work. The others are not listed. */
+    var workers = Int.MAX_VALUE
     var isDown = false
 
     fun append(stream: KeyedStream, changes: List<KeyedChange>): Long {
@@ -95,7 +98,10 @@
 
     override suspend fun members(): Set<String>? {
         delay(callMs)
-        return if (isServed()) data.memberSeenAtMs.keys.toSet() else null
+        if (!isServed()) return null
+        return data.memberSeenAtMs.keys
+            .take(data.workers)
+            .toSet()
     }
 
     override suspend fun leave(member: String) {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/SuspendableProcess.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/SuspendableProcess.kt
@@ -21,9 +21,12 @@
     private val scheduler: TestCoroutineScheduler,
 ) : TimerService {
     private val waiting = ArrayDeque<Pair<CoroutineContext, Runnable>>()
-    private var isSuspended = false
     private var stoodStillMs = 0L
 
+    /** Whether the process does nothing at present. */
+    var isSuspended = false
+        private set
+
     /** Runs what the process does. */
     val dispatcher: CoroutineDispatcher = Loop(StandardTestDispatcher(scheduler))
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlanningRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlanningRouter.kt
@@ -22,6 +22,7 @@
     val process: SuspendableProcess,
     targets: HoldingTargets,
     isCutFrom: (String) -> Boolean,
+    probe: PlannerProbe,
 ) {
     val log = RecordingLog()
     private val timer = process
@@ -37,7 +38,7 @@
     }
     val authority: PlannerAuthority =
         PlannerAuthority(node, life, records, timer, process::timeOfDayMs, settings, log) { recordsFollower.confirmedAtMs }
-    private val election = PlannerElection(node, life, store, store, records, timer, settings, log)
+    private val election = PlannerElection(node, life, store, store, probe, records, timer, settings, log)
     private val planner = KeyPlanner(
         PlannerParts(
             zone = node,
@@ -68,6 +69,9 @@
 
     suspend fun resign() = planner.resign()
 
+    /** What the router answers when it is asked, and false when it cannot answer. */
+    fun isActing(life: String): Boolean = job?.isActive == true && !process.isSuspended && authority.isActing(life)
+
     fun kill() {
         job?.cancel("killed")
     }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -45,10 +45,9 @@
         }
 
         fun startRouter(node: String) {
-            val router = PlanningRouter(node, "life${lives++}", FakeStore(data), SuspendableProcess(scheduler), targets) {
-                (node to it) in
-                    cuts
-            }
+            val isCutFrom = { target: String -> (node to target) in cuts }
+            val probe = PlannerProbe { planner -> routers[planner.node]?.isActing(planner.life) ?: false }
+            val router = PlanningRouter(node, "life${lives++}", FakeStore(data), SuspendableProcess(scheduler), targets, isCutFrom, probe)
             routers[node] = router
             router.start(scope)
         }
@@ -269,6 +268,19 @@
         expectThat(heldKeys()).isEqualTo(LAST_KEY + 1)
     }
 
+    /** Guards against a planner that is replaced, and moves no keys for seconds, only because the group has given its work to others. */
+    @Test
+    fun `a planner without a part of the work of the group stays the planner`() = world(12) {
+        advance(6_000)
+        val acting = planner()!!
+        data.memberSeenAtMs.keys
+            .first { it.startsWith(acting.node) }
+            .let { data.memberSeenAtMs -= it }
+        data.workers = 1
+        advance(6_000)
+        expectThat(planner()?.node).isEqualTo(acting.node)
+    }
+
     /** Guards against a planner that wakes, believes that no time has passed, and renews what its successor has given away. */
     @Test
     fun `a planner that was suspended gives no order when it wakes`() {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/RelayedAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/RelayedAccessTest.kt
@@ -56,7 +56,8 @@
         val peerStore = FakeStore(data)
         val log = RecordingLog()
         val peer = SocketAddress("10.0.0.2", 1)
-        val client = RelayClient(Loopback(relayHandler(DirectAccess(peerStore, peerStore, timer), KeyLoads(timer), NoOrders)))
+        private val calls = relayHandler(DirectAccess(peerStore, peerStore, timer), KeyLoads(timer), NoOrders) { false }
+        val client = RelayClient(Loopback(calls))
         val access = RelayedAccess(DirectAccess(ownStore, ownStore, timer), client, { listOf(peer) }, timer, log)
         val change = listOf(KeyedChange("k", "v".toByteArray()), KeyedChange("gone", null))
     }
