Read the routers' records from the planner instead of the store

The planner reads them anyway. The other routers now wait for them at the planner's relay, and read the store while no acting planner answers, for records that the planner does not have, and after a refused key. The planner itself always reads the store, because these reads confirm its authority; a router that has claimed the role leaves its predecessor at once.

Ruled out: fewer appends by gathering confirmations for longer (requests for moving keys wait for them).

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -17,6 +17,7 @@
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.directory.RecordDecoder
 import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.keys.ElectionParts
 import yuccaflow.entry.keys.KeyLoads
 import yuccaflow.entry.keys.KeyOrders
 import yuccaflow.entry.keys.KeyPlanner
@@ -27,6 +28,8 @@
 import yuccaflow.entry.keys.PlannerParts
 import yuccaflow.entry.keys.RouterRecords
 import yuccaflow.entry.peer.DirectAccess
+import yuccaflow.entry.peer.PlannerFedStore
+import yuccaflow.entry.peer.PlannerFeed
 import yuccaflow.entry.peer.RelayClient
 import yuccaflow.entry.peer.RelayedAccess
 import yuccaflow.entry.peer.RelayedProbe
@@ -117,22 +120,14 @@
     private val operatorsFollower = follower(KeyedStream.OPERATORS, operators) { patient(FollowerSettings()) }
     private val targetsFollower: StreamFollower =
         follower(KeyedStream.TARGETS, directory) { patient(FollowerSettings(gatherMs = TARGETS_GATHER_MS)) }
-    private val recordsFollower: StreamFollower = follower(KeyedStream.ROUTERS, records, ::recordsSettings)
+    private val recordsStore = PlannerFedStore(access, { records.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
+    private val recordsFollower: StreamFollower =
+        StreamFollower(recordsStore, KeyedStream.ROUTERS, timer, events, records, ::recordsSettings)
     private val authority = PlannerAuthority(settings.node, life, records, timer, System::currentTimeMillis, keySettings, events) {
         recordsFollower.confirmedAtMs
     }
     private val election =
-        PlannerElection(
-            settings.node,
-            life,
-            access,
-            access,
-            RelayedProbe(relayClient, records::relayOf),
-            records,
-            timer,
-            keySettings,
-            events,
-        )
+        PlannerElection(settings.node, life, electionParts(), records, timer, keySettings, events)
     private val keyLoads = KeyLoads(timer)
     private val meters = RouterMeters(settings.node, settings.zone)
     private val budgets = HashMap<String, RepeatBudget>()
@@ -153,7 +148,7 @@
         val callers = httpServer(settings.callerListen, dispatcher, ::callerLimits, requestRouter())
         val readiness = httpServer(settings.readyListen, dispatcher, { HttpServerLimits() }, HttpHandler { readinessAnswer(it.path) })
         val metrics = httpServer(settings.metricsListen, dispatcher, { HttpServerLimits() }, HttpHandler { metricsAnswer(it.path) })
-        val relayCalls = relayHandler(directAccess, keyLoads, platform.keyOrders, authority::isActing)
+        val relayCalls = relayHandler(directAccess, keyLoads, platform.keyOrders, PlannerFeed(authority, records, timer))
         val relays = httpServer(settings.relayListen, dispatcher, ::relayLimits, relayCalls)
         withContext(dispatcher) {
             startParts(stop)
@@ -215,6 +210,9 @@
         }
     }
 
+    private fun electionParts() =
+        ElectionParts(access, access, RelayedProbe(relayClient, records::relayOf), onClaimed = recordsStore::readStore)
+
     private fun keyPlanner(): KeyPlanner {
         val parts = PlannerParts(
             settings.zone,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -15,6 +15,18 @@
     suspend fun isActing(planner: PlannerTerm): Boolean
 }
 
+/**
+ * What an election works with.
+ *
+ * @property onClaimed called when this router has appended a planner record that names it.
+ */
+internal class ElectionParts(
+    val group: MemberGroup,
+    val store: KeyedStore,
+    val probe: PlannerProbe,
+    val onClaimed: () -> Unit,
+)
+
 /**
  * Decides which router plans. The group of live routers names one candidate; it claims the planner record by a conditional append when
  * there is no planner, or when the recorded one neither has a part of the group's work nor answers that it acts. Only the record counts: two
@@ -23,9 +35,7 @@
 internal class PlannerElection(
     private val node: String,
     private val life: String,
-    private val group: MemberGroup,
-    private val store: KeyedStore,
-    private val probe: PlannerProbe,
+    private val parts: ElectionParts,
     private val records: RouterRecords,
     private val timer: TimerService,
     private val settings: KeySettings,
@@ -55,7 +65,7 @@
     suspend fun stayInGroup() {
         while (!hasResigned) {
             val startedAtMs = timer.nowMs()
-            val result = group.join(member, joined?.generation ?: 0, settings.memberTtlMs)
+            val result = parts.group.join(member, joined?.generation ?: 0, settings.memberTtlMs)
             when (result) {
                 is JoinResult.Joined -> noteJoined(result, startedAtMs)
                 is JoinResult.Failed -> noteFailed(result)
@@ -75,10 +85,10 @@
         val end = records.endOffset
         if (own != null && end != null) {
             val vacancy = PlannerTerm(node = "", life = "", term = own.term + 1)
-            val result = store.append(KeyedStream.ROUTERS, listOf(RouterRecords.plannerChange(vacancy)), end)
+            val result = parts.store.append(KeyedStream.ROUTERS, listOf(RouterRecords.plannerChange(vacancy)), end)
             hasGivenUp = result is KeyedAppendResult.Appended
         }
-        group.leave(member)
+        parts.group.leave(member)
         return hasGivenUp
     }
 
@@ -101,17 +111,18 @@
 
     private suspend fun isAlive(planner: PlannerTerm?): Boolean {
         if (planner == null || planner.isVacant) return false
-        val members = group.members() ?: return true
+        val members = parts.group.members() ?: return true
         // The group names no member that has no part of its work, as the ones that joined last.
-        return memberName(planner.node, planner.life) in members || probe.isActing(planner)
+        return memberName(planner.node, planner.life) in members || parts.probe.isActing(planner)
     }
 
     private suspend fun claim(former: PlannerTerm?, end: Long): Boolean {
         val term = PlannerTerm(node, life, (former?.term ?: 0) + 1)
-        val result = store.append(KeyedStream.ROUTERS, listOf(RouterRecords.plannerChange(term)), end)
+        val result = parts.store.append(KeyedStream.ROUTERS, listOf(RouterRecords.plannerChange(term)), end)
         if (result !is KeyedAppendResult.Appended) return false
         startedTerm = term.term
         startTerm(former, end + 1)
+        parts.onClaimed()
         events.log(Events.PLANNER_CLAIMED) {
             put("term", term.term)
             put("former_planner", former?.node)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RouterRecords.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RouterRecords.kt
@@ -1,5 +1,8 @@
 package yuccaflow.entry.keys
 
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -47,14 +50,15 @@
     private val members = HashMap<String, Member>()
     private val changedAtMs = HashMap<Pair<String, Int>, Long>()
     private val listeners = ArrayList<() -> Unit>()
+    private val recent = ArrayDeque<KeyedRecord>()
+    private val readTo = MutableStateFlow<Long?>(null)
 
     /** The latest planner, or null before the first one. */
     var planner: PlannerTerm? = null
         private set
 
     /** Where the stream ended when it was read last; null before the first snapshot. */
-    var endOffset: Long? = null
-        private set
+    val endOffset: Long? get() = readTo.value
 
     /** Routers that have started since the first start of the system. Routers that were taken away for good still count. */
     val memberCount: Int get() = members.size.coerceAtLeast(1)
@@ -101,16 +105,32 @@
         members.clear()
         planner = null
         records.forEach(::take)
-        this.endOffset = endOffset
+        recent.clear()
+        readTo.value = endOffset
         changed()
     }
 
     override fun onRecords(records: List<KeyedRecord>, endOffset: Long) {
         records.forEach(::take)
-        this.endOffset = endOffset
+        recent += records
+        while (recent.size > MOST_RECENT) recent.removeFirst()
+        readTo.value = endOffset
         if (records.isNotEmpty()) changed()
     }
 
+    /** The records from [offset] on, or null when this router does not have all of them any more. */
+    fun recordsFrom(offset: Long): List<KeyedRecord>? {
+        val end = endOffset ?: return null
+        if (offset >= end) return emptyList()
+        if (recent.isEmpty() || recent.first().offset > offset) return null
+        return recent.filter { it.offset >= offset }
+    }
+
+    /** Waits until the stream has been read past [offset], for [waitMs] at most. */
+    suspend fun awaitEndAfter(offset: Long, waitMs: Long) {
+        withTimeoutOrNull(waitMs) { readTo.first { it != null && it > offset } }
+    }
+
     private fun changed() = listeners.forEach { it() }
 
     private fun take(record: KeyedRecord) {
@@ -165,6 +185,9 @@
         private const val MEMBER = "member"
         private const val RANGE = "range"
         private const val KEY_DIGITS = 5
+
+        /** Records kept for routers that ask for them. */
+        private const val MOST_RECENT = 300
         private val JSON = Json { ignoreUnknownKeys = true }
 
         /** The record that makes [term] the planner's term. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -55,14 +55,14 @@
 
 /**
  * The handler that makes other routers' calls through [direct], as long as this router itself is served, takes their [loads], gives
- * [orders] to targets for them, and tells whether this router acts as planner in a life by [isActing].
+ * [orders] to targets for them, and answers for this router as [planner].
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun relayHandler(
     direct: DirectAccess,
     loads: KeyLoads,
     orders: KeyOrders,
-    isActing: (String) -> Boolean,
+    planner: PlannerFeed,
 ): HttpHandler = HttpHandler { request ->
     val call = try {
         CBOR.decodeFromByteArray(RelayCall.serializer(), request.body)
@@ -72,7 +72,8 @@
     val answer = when {
         call is RelayCall.KeySamples -> RelayAnswer.Done.also { loads.takeReport(call.node, call.keys) }
         call is RelayCall.Release -> release(orders, call)
-        call is RelayCall.PlannerState -> RelayAnswer.PlannerState(isActing(call.life))
+        call is RelayCall.PlannerState -> RelayAnswer.PlannerState(planner.isActing(call.life))
+        call is RelayCall.RouterRecords -> planner.read(call.fromOffset, call.waitMs)
         direct.isServed -> direct.carryOut(call)
         else -> RelayAnswer.NotServed
     }
@@ -98,6 +99,6 @@
         leave(call.member)
         RelayAnswer.Done
     }
-    is RelayCall.KeySamples, is RelayCall.Release, is RelayCall.PlannerState -> RelayAnswer.NotServed
+    is RelayCall.KeySamples, is RelayCall.Release, is RelayCall.PlannerState, is RelayCall.RouterRecords -> RelayAnswer.NotServed
     RelayCall.Members -> members()?.let { RelayAnswer.MemberList(it) } ?: RelayAnswer.NotServed
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -57,6 +57,13 @@
         val generation: Long,
     ) : RelayCall
 
+    /** The routers' records from [fromOffset] on, as the asked router has read them. Only the acting planner answers. */
+    @Serializable
+    class RouterRecords(
+        val fromOffset: Long,
+        val waitMs: Long,
+    ) : RelayCall
+
     /** Ask whether the asked router acts as planner in its life [life]. */
     @Serializable
     class PlannerState(
--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/LoopbackClient.kt
@@ -0,0 +1,29 @@
+package yuccaflow.entry.fake
+
+import yuccaflow.entry.keys.KeyOrderResult
+import yuccaflow.entry.keys.KeyOrders
+import yuccaflow.entry.keys.KeySpan
+import yuccaflow.entry.keys.OrderAddress
+import yuccaflow.http.HttpClient
+import yuccaflow.http.HttpHandler
+import yuccaflow.http.HttpRequest
+import yuccaflow.http.HttpResult
+import yuccaflow.http.SocketAddress
+
+/** Hands every request to [handler], without a network. */
+internal class LoopbackClient(
+    private val handler: HttpHandler,
+) : HttpClient {
+    override suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String?) =
+        HttpResult.Answered(handler.handle(request))
+
+    override suspend fun close() = Unit
+}
+
+/** Targets that take no grant and release everything. */
+internal object NoOrders : KeyOrders {
+    override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long) =
+        KeyOrderResult.NoAnswer("not used")
+
+    override suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long) = KeyOrderResult.Done("token")
+}
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlanningRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlanningRouter.kt
@@ -38,7 +38,7 @@
     }
     val authority: PlannerAuthority =
         PlannerAuthority(node, life, records, timer, process::timeOfDayMs, settings, log) { recordsFollower.confirmedAtMs }
-    private val election = PlannerElection(node, life, store, store, probe, records, timer, settings, log)
+    private val election = PlannerElection(node, life, ElectionParts(store, store, probe) { }, records, timer, settings, log)
     private val planner = KeyPlanner(
         PlannerParts(
             zone = node,
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/RelayedAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/RelayedAccessTest.kt
@@ -12,42 +12,26 @@
 import yuccaflow.base.TimerService
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.FakeStoreData
+import yuccaflow.entry.fake.LoopbackClient
+import yuccaflow.entry.fake.NoOrders
 import yuccaflow.entry.fake.RecordingLog
 import yuccaflow.entry.fake.VirtualTimer
 import yuccaflow.entry.keys.KeyLoads
 import yuccaflow.entry.keys.KeyOrderResult
-import yuccaflow.entry.keys.KeyOrders
+import yuccaflow.entry.keys.KeySettings
 import yuccaflow.entry.keys.KeySpan
 import yuccaflow.entry.keys.OrderAddress
+import yuccaflow.entry.keys.PlannerAuthority
+import yuccaflow.entry.keys.RouterRecords
 import yuccaflow.entry.store.FeedResult
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.SnapshotResult
-import yuccaflow.http.HttpClient
-import yuccaflow.http.HttpHandler
-import yuccaflow.http.HttpRequest
-import yuccaflow.http.HttpResult
 import yuccaflow.http.SocketAddress
 
 @DisplayName("The way to the store through another router")
 class RelayedAccessTest {
-    private object NoOrders : KeyOrders {
-        override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long) =
-            KeyOrderResult.NoAnswer("not used")
-
-        override suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long) = KeyOrderResult.Done("token")
-    }
-
-    private class Loopback(
-        private val handler: HttpHandler,
-    ) : HttpClient {
-        override suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String?) =
-            HttpResult.Answered(handler.handle(request))
-
-        override suspend fun close() = Unit
-    }
-
     private inner class World(
         timer: TimerService,
     ) {
@@ -56,8 +40,10 @@
         val peerStore = FakeStore(data)
         val log = RecordingLog()
         val peer = SocketAddress("10.0.0.2", 1)
-        private val calls = relayHandler(DirectAccess(peerStore, peerStore, timer), KeyLoads(timer), NoOrders) { false }
-        val client = RelayClient(Loopback(calls))
+        private val records = RouterRecords(timer, log)
+        private val authority = PlannerAuthority("peer", "life", records, timer, timer::nowMs, KeySettings(), log) { null }
+        private val feed = PlannerFeed(authority, records, timer)
+        val client = RelayClient(LoopbackClient(relayHandler(DirectAccess(peerStore, peerStore, timer), KeyLoads(timer), NoOrders, feed)))
         val access = RelayedAccess(DirectAccess(ownStore, ownStore, timer), client, { listOf(peer) }, timer, log)
         val change = listOf(KeyedChange("k", "v".toByteArray()), KeyedChange("gone", null))
     }
