--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -29,8 +29,8 @@
 
 /**
  * Decides which router plans. The group of live routers names one candidate; it claims the planner record by a conditional append when
- * there is no planner, or when the recorded one neither has a part of the group's work nor answers that it acts. Only the record counts: two
- * candidates at once are harmless.
+ * there is no planner, or when the recorded one neither has a part of the group's work nor answers that it acts. Only the record counts:
+ * two candidates at once are harmless.
  */
 internal class PlannerElection(
     private val node: String,
