--- /dev/null
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerFixture.kt
@@ -0,0 +1,30 @@
+package yuccaflow.http
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import java.util.concurrent.CopyOnWriteArrayList
+
+internal const val OK = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+/** One server for each test, and the targets of the requests that reached its handler. */
+abstract class HttpServerFixture {
+    protected val handled: MutableList<String> = CopyOnWriteArrayList()
+    protected var server: HttpServer? = null
+        private set
+
+    protected fun start(limits: HttpServerLimits = HttpServerLimits(), handler: HttpHandler = ECHO): RawCaller {
+        val started = httpServer(SocketAddress("127.0.0.1", 0), limits) { request ->
+            handled += request.target
+            handler.handle(request)
+        }
+        server = started
+        return RawCaller(started.address)
+    }
+
+    @AfterEach
+    fun stop() = runBlocking { server?.close(0) ?: Unit }
+
+    protected companion object {
+        val ECHO = HttpHandler { HttpResponse(200, HttpHeaderList.Empty, "${it.method} ${it.target} ".toByteArray() + it.body) }
+    }
+}
