Keep the holder's former generation when it gets a new one

Cause, found in reading: a holder that refuses its generation gets a new one, and the old one was forgotten. If the new grant never reached it and the keys then moved, nothing was waited for, although the old grant may last 5 s more.

The old generation stays among the former ones until the new grant is confirmed. The holder itself is not asked to release, since a grant with a higher generation takes the place of its former one.

Tests failed first: KeyPlanTest, RangeKeeperTest.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/AssignmentBatch.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/AssignmentBatch.kt
@@ -31,9 +31,10 @@
         if (after[assignment.from] == assignment) after[assignment.from] = assignment.copy(formers = emptyList(), isMoving = false)
     }
 
-    /** Gives [assignment] a new generation with the same holder. */
+    /** Gives [assignment] a new generation with the same holder, which may hold the keys with the present one until that grant ends. */
     fun renewGeneration(assignment: Assignment) {
-        if (after[assignment.from] == assignment) after[assignment.from] = assignment.copy(generation = UNSET, isMoving = true)
+        if (after[assignment.from] != assignment) return
+        after[assignment.from] = assignment.copy(generation = UNSET, formers = holdersOf(assignment), isMoving = true)
     }
 
     /** The assignments that change, with their generations, if the records are appended at [endOffset]. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
@@ -82,7 +82,9 @@
 
     private suspend fun carryOut(assignment: Assignment) {
         if (assignment.isMoving) {
-            val handover = assignment.formers.map { takeFrom(it, assignment) }.firstOrNull { it != null }
+            // A grant with a higher generation takes the place of the holder's own former one.
+            val others = assignment.formers.filter { it.holder != assignment.holder }
+            val handover = others.map { takeFrom(it, assignment) }.firstOrNull { it != null }
             grantUntilDone(assignment, handover)
             standing.confirmed(assignment)
         }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/KeyPlanTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/KeyPlanTest.kt
@@ -98,4 +98,22 @@
             .map { it.holder }
         expectThat(formers).isEqualTo(listOf(holder(1), holder(3)))
     }
+
+    /** Guards against keys that are given away while the holder may still hold them with the generation that it refused to renew. */
+    @Test
+    fun `a renewed generation keeps the one before as a former holder`() {
+        val batch = AssignmentBatch("s", halves)
+        batch.renewGeneration(halves[0])
+        val renewed = batch.changed(10).single()
+        expectThat(renewed.formers).isEqualTo(listOf(FormerHolder(holder(1), 1)))
+        val moved = AssignmentBatch("s", listOf(renewed))
+        moved.move(KeyMove("s", renewed.from, renewed.to, holder(3), renewed))
+        expectThat(
+            moved
+                .changed(20)
+                .single()
+                .formers
+                .map { it.generation },
+        ).isEqualTo(listOf(1L, renewed.generation))
+    }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNotEmpty
@@ -108,4 +109,16 @@
         expectThat(sent.filter { it.target == "t0" && it.order == "grant" && it.startedAtMs > replacedAtMs }).isEmpty()
         expectThat(sent.filter { it.target == "t1" }).isNotEmpty()
     }
+
+    /** Guards against a holder that must stop its work to get a new generation of what it holds. */
+    @Test
+    fun `grants a renewed generation without a release at the same holder`() {
+        val first = assignment(1, 5)
+        keeper.keep(scope, listOf(first))
+        advance(100)
+        keeper.keep(scope, listOf(movedFrom(first, 1, 9)))
+        advance(100)
+        expectThat(sent.filter { it.order == "release" }).isEmpty()
+        expectThat(sent.map { it.generation }).contains(9L)
+    }
 }
