Ask again whether an order may be given right before it leaves

The client now asks on the connection's event loop, right before the first byte, whether the request may still leave, and reports it as not sent if not.

HttpClientTest, 'does not send a request that was withdrawn while it waited for a connection', fails without the question.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOrders.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOrders.kt
@@ -68,8 +68,18 @@
  * later.
  */
 interface KeyOrders {
-    /** Grants [span] for [holdMs] from the arrival of the order, or renews the grant. */
-    suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long): KeyOrderResult
+    /**
+     * Grants [span] for [holdMs] from the arrival of the order, or renews the grant. The order leaves only if [maySend] still says so when
+     * a connection is open.
+     */
+    suspend fun grant(
+        target: OrderAddress,
+        span: KeySpan,
+        holdMs: Long,
+        handover: String?,
+        timeoutMs: Long,
+        maySend: () -> Boolean,
+    ): KeyOrderResult
 
     /** Ends new work on [span]. The answer comes when the running work on these keys has ended. */
     suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long): KeyOrderResult
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
@@ -184,7 +184,7 @@
     private suspend fun send(target: OrderAddress, span: KeySpan, handover: String?): KeyOrderResult {
         val earlierMs = arrivesByMs[span.generation]
         arrivesByMs[span.generation] = timer.nowMs() + settings.orderTimeoutMs
-        val result = orders.grant(target, span, settings.holdMs, handover, settings.orderTimeoutMs)
+        val result = orders.grant(target, span, settings.holdMs, handover, settings.orderTimeoutMs, standing::mayOrder)
         when (result) {
             is KeyOrderResult.NotSent, is KeyOrderResult.ConnectionRefused ->
                 if (earlierMs == null) arrivesByMs -= span.generation else arrivesByMs[span.generation] = earlierMs
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/LoopbackClient.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/LoopbackClient.kt
@@ -14,7 +14,13 @@
 internal class LoopbackClient(
     private val handler: HttpHandler,
 ) : HttpClient {
-    override suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String?) =
+    override suspend fun send(
+        address: SocketAddress,
+        request: HttpRequest,
+        timeoutMs: Long,
+        expectedRequestId: String?,
+        maySend: () -> Boolean,
+    ) =
         HttpResult.Answered(handler.handle(request))
 
     override suspend fun close() = Unit
@@ -22,7 +28,14 @@
 
 /** Targets that take no grant and release everything. */
 internal object NoOrders : KeyOrders {
-    override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long) =
+    override suspend fun grant(
+        target: OrderAddress,
+        span: KeySpan,
+        holdMs: Long,
+        handover: String?,
+        timeoutMs: Long,
+        maySend: () -> Boolean,
+    ) =
         KeyOrderResult.NoAnswer("not used")
 
     override suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long) = KeyOrderResult.Done("token")
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/HoldingTargets.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/HoldingTargets.kt
@@ -90,7 +90,14 @@
 
     /** The orders of one router, which [isCut] may keep from a target. */
     fun orders(isCut: (String) -> Boolean): KeyOrders = object : KeyOrders {
-        override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long): KeyOrderResult {
+        override suspend fun grant(
+            target: OrderAddress,
+            span: KeySpan,
+            holdMs: Long,
+            handover: String?,
+            timeoutMs: Long,
+            maySend: () -> Boolean,
+        ): KeyOrderResult {
             grants++
             return deliver(target, isCut, timeoutMs) { life, arrivedAtMs ->
                 // The target's clock may run 2% slow.
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
@@ -40,7 +40,14 @@
 
     /** Orders to `t0` end as [answer] says, after their whole time if there is none; the others are carried out. */
     private val orders = object : KeyOrders {
-        override suspend fun grant(target: OrderAddress, span: KeySpan, holdMs: Long, handover: String?, timeoutMs: Long) =
+        override suspend fun grant(
+            target: OrderAddress,
+            span: KeySpan,
+            holdMs: Long,
+            handover: String?,
+            timeoutMs: Long,
+            maySend: () -> Boolean,
+        ) =
             send("grant", target, span, timeoutMs)
 
         override suspend fun release(target: OrderAddress, span: KeySpan, timeoutMs: Long) = send("release", target, span, timeoutMs)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -61,7 +61,13 @@
     }
 
     private val client = object : HttpClient {
-        override suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String?): HttpResult {
+        override suspend fun send(
+            address: SocketAddress,
+            request: HttpRequest,
+            timeoutMs: Long,
+            expectedRequestId: String?,
+            maySend: () -> Boolean,
+        ): HttpResult {
             sent += address to request
             return answers(sent.size)
         }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -13,17 +13,28 @@
 import io.netty.channel.Channel as NettyChannel
 import io.netty.handler.codec.http.HttpResponse as NettyResponse
 
-/** Whether the bytes of a request have left. Shared by the sending coroutine and the event loop, so that a timeout cannot race a write. */
-internal class SendMark {
-    private enum class Stage { WAITING, SENT, ABANDONED }
+/**
+ * Whether the bytes of a request have left. Shared by the sending coroutine and the event loop, so that a timeout cannot race a write.
+ * [maySend] is asked last, right before the write.
+ */
+internal class SendMark(
+    private val maySend: () -> Boolean,
+) {
+    private enum class Stage { WAITING, SENT, ABANDONED, WITHDRAWN }
 
     private val stage = AtomicReference(Stage.WAITING)
 
-    /** Claims the right to write. Returns false when the request was abandoned. */
-    fun markSent(): Boolean = stage.compareAndSet(Stage.WAITING, Stage.SENT)
+    /** Whether the sender did not want the request to leave any more when it could have. */
+    val isWithdrawn: Boolean get() = stage.get() == Stage.WITHDRAWN
+
+    /** Claims the right to write. Returns false when the request was abandoned or is withdrawn. */
+    fun markSent(): Boolean {
+        val next = if (maySend()) Stage.SENT else Stage.WITHDRAWN
+        return stage.compareAndSet(Stage.WAITING, next) && next == Stage.SENT
+    }
 
     /** Gives the request up. Returns true when no byte has left or ever will. */
-    fun abandon(): Boolean = stage.compareAndSet(Stage.WAITING, Stage.ABANDONED) || stage.get() == Stage.ABANDONED
+    fun abandon(): Boolean = stage.compareAndSet(Stage.WAITING, Stage.ABANDONED) || stage.get() != Stage.SENT
 }
 
 /** Result of reading one response. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -59,8 +59,17 @@
      *
      * When [expectedRequestId] is given, a response that carries another id in [HttpClientSettings.requestIdHeader] is treated as
      * [HttpClientSettings.foreignAnswers] says. Cancelling the coroutine closes the connection.
+     *
+     * [maySend] is asked on the connection's event loop right before the first byte is written, since waiting for a connection takes time.
+     * When it says no, the result is [HttpResult.NotSent].
      */
-    suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String? = null): HttpResult
+    suspend fun send(
+        address: SocketAddress,
+        request: HttpRequest,
+        timeoutMs: Long,
+        expectedRequestId: String? = null,
+        maySend: () -> Boolean = { true },
+    ): HttpResult
 
     /** Closes all connections. */
     suspend fun close()
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -19,14 +19,20 @@
     @Volatile
     private var closed = false
 
-    override suspend fun send(address: SocketAddress, request: HttpRequest, timeoutMs: Long, expectedRequestId: String?): HttpResult {
+    override suspend fun send(
+        address: SocketAddress,
+        request: HttpRequest,
+        timeoutMs: Long,
+        expectedRequestId: String?,
+        maySend: () -> Boolean,
+    ): HttpResult {
         if (closed) return HttpResult.NotSent("the client is closed")
         val message = try {
             encode(address, request)
         } catch (invalid: IllegalArgumentException) {
             return HttpResult.NotSent("the request is not valid: ${invalid.message}")
         }
-        val call = Call(address, message, expectedRequestId)
+        val call = Call(address, message, expectedRequestId, SendMark(maySend))
         val pool = pools.computeIfAbsent(address) { ConnectionPool(it, settings) }
         val result = withTimeoutOrNull(timeoutMs) {
             pool.permits.withPermit { exchange(pool, call) }
@@ -43,9 +49,8 @@
         val address: SocketAddress,
         val message: FullHttpRequest,
         val expectedRequestId: String?,
-    ) {
-        val mark = SendMark()
-    }
+        val mark: SendMark,
+    )
 
     private suspend fun exchange(pool: ConnectionPool, call: Call): HttpResult {
         while (true) {
@@ -65,7 +70,9 @@
     private suspend fun exchangeOn(connection: ClientConnection, pool: ConnectionPool, call: Call): HttpResult? {
         var reusable = false
         try {
-            if (!connection.write(call.message, call.mark)) return null
+            if (!connection.write(call.message, call.mark)) {
+                return if (call.mark.isWithdrawn) HttpResult.NotSent("the request was withdrawn before it was sent") else null
+            }
             return when (val read = connection.read(call.message.method().name(), call.expectedRequestId)) {
                 is ResponseRead.Broken -> HttpResult.Unknown("${call.address}: ${read.reason}")
                 is ResponseRead.Complete -> {
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -294,6 +294,16 @@
         }
     }
 
+    /** Guards against an order that leaves after its sender has lost the right to give it, while it waited for the connection. */
+    @Test
+    fun `does not send a request that was withdrawn while it waited for a connection`() {
+        val received = CompletableFuture<Boolean>()
+        serve { socket, _ -> received.complete(socket.readRequest()) }
+        val result = runBlocking { client.send(address, get, LONG_MS, maySend = { false }) }
+        expectThat(result).isA<HttpResult.NotSent>()
+        expectThat(received.get()).isEqualTo(false)
+    }
+
     @Test
     fun `skips interim answers`() {
         serve { socket, _ ->
