Bound what a server can send for one request and on an idle connection

Cause: only the header size and the body size were limited. Interim responses, and foreign responses that are skipped, were read until the timeout. An idle connection was not watched: a server that sent behind a complete response filled the inbox, and nobody closed the connection until the address was used again. Half a response behind a complete one stayed in the decoder and became the start of the next response, so a request was answered with the status of bytes that belong to no request.

The client's decoder now counts all bytes of a request (8 times the header and body limits, since a body in chunks of one byte takes six times its length), closes the connection on bytes that arrive while no response is due, and tells whether it stands between two messages, without which no request is written on a connection. Bytes on a new connection before its request count as not sent.

--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -43,6 +43,7 @@
 /** One connection to a server. It carries one request at a time. */
 internal class ClientConnection(
     private val channel: NettyChannel,
+    private val decoder: ResponseDecoder,
     private val inbox: Inbox,
     private val settings: HttpClientSettings,
 ) {
@@ -55,7 +56,7 @@
     @Volatile
     private var lastWrite: ChannelFuture? = null
 
-    /** Returns whether the connection is open and nothing arrived on it while it was idle. */
+    /** Returns whether the connection is open and no message arrived on it behind the last response. */
     fun isUsable(): Boolean = channel.isActive && inbox.poll() == null
 
     /** Returns whether the connection has been idle for so long that the server may be about to close it. */
@@ -64,13 +65,19 @@
         return nowNanos - idleSinceNanos > TimeUnit.MILLISECONDS.toNanos(limitMs)
     }
 
-    /** Writes [message] unless the connection is closed or [mark] was abandoned. Returns false when nothing was written. */
+    /** Closes the connection as soon as something arrives on it, until the next request is written. */
+    fun expectNothing() = decoder.end()
+
+    /** Writes [message] unless the connection is not usable or [mark] was abandoned. Returns false when nothing was written. */
     suspend fun write(message: FullHttpRequest, mark: SendMark): Boolean =
         suspendCancellableCoroutine { waiter ->
-            // Activity is checked on the event loop, where the connection cannot be closed between the check and the write.
+            // Checked on the event loop, where nothing can arrive and the connection cannot be closed between the check and the write.
             channel.eventLoop().execute {
-                val written = channel.isActive && mark.markSent()
-                if (written) lastWrite = channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+                val written = isUsable() && decoder.isBetweenMessages && mark.markSent()
+                if (written) {
+                    decoder.begin(message.method())
+                    lastWrite = channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+                }
                 waiter.resume(written)
             }
             waiter.invokeOnCancellation { mark.abandon() }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
@@ -6,8 +6,7 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlinx.coroutines.sync.Semaphore
 import java.net.ConnectException
 import kotlin.coroutines.cancellation.CancellationException
@@ -52,12 +51,14 @@
     @Synchronized
     fun giveBack(connection: ClientConnection) {
         connection.idleSinceNanos = System.nanoTime()
-        if (closed) connection.close() else idle.addLast(connection)
+        connection.expectNothing()
+        if (closed || !connection.isUsable()) connection.close() else idle.addLast(connection)
     }
 
     /** Opens a new connection. */
     suspend fun open(): Opened {
         val inbox = Inbox()
+        val decoder = ResponseDecoder(settings.bodyLimitBytes)
         val bootstrap = Bootstrap()
             .group(EventLoops.group)
             .channel(NioSocketChannel::class.java)
@@ -65,7 +66,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             // Closing, also by the end of the process, drops what has not arrived. Otherwise the system would go on sending it.
             .option(ChannelOption.SO_LINGER, 0)
-            .handler(Pipeline(inbox))
+            .handler(Pipeline(decoder, inbox))
         settings.keepAliveProbes?.options()?.forEach { (option, value) -> bootstrap.setOption(option, value) }
         val connecting = bootstrap.connect(address.toInet())
         val failure = try {
@@ -78,7 +79,7 @@
             val isRefused = failure is ConnectException && failure !is ConnectTimeoutException
             return Opened.Failed("cannot connect to $address: ${failure.message}", isRefused)
         }
-        return Opened.Ready(ClientConnection(connecting.channel(), inbox, settings))
+        return Opened.Ready(ClientConnection(connecting.channel(), decoder, inbox, settings))
     }
 
     /** Closes the idle connections, and the others when they are given back. */
@@ -94,17 +95,12 @@
         option(option as ChannelOption<Any>, value)
     }
 
-    private companion object {
-        // Targets may send more headers than callers may.
-        const val HEADER_LIMIT_BYTES = 65_536
-    }
-
     private class Pipeline(
+        private val decoder: ResponseDecoder,
         private val inbox: Inbox,
     ) : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            val decoding = HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES)
-            channel.pipeline().addLast(HttpClientCodec(decoding, HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST, false), inbox)
+            channel.pipeline().addLast(decoder, HttpRequestEncoder(), inbox)
         }
     }
 }
