Pause reading from a connection by the bytes that it holds

Cause: the inbox paused after 256 items, whatever their size. A connection could hold 2 MiB of body parts, or more in large headers, before its coroutine ran, and an event loop reads from all ready connections before it runs a coroutine. With a heap of 96 MB about fifty connections to servers that send at full speed could have filled it (computed, not measured).

InboxTest failed before the change: 2,097,152 bytes were held in bodies and in headers of 8 KiB, expected less than 131,072.

--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/Inbox.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/Inbox.kt
@@ -14,18 +14,30 @@
 
 /** What a connection's coroutine receives, in wire order. */
 internal sealed interface Inbound {
+    /** About how much memory the item holds. */
+    val heldBytes: Int get() = ITEM_BYTES
+
     /** The first byte of a message has arrived. */
     data object Started : Inbound
 
     /** The start line and the headers of a message. */
     class Head(
         val message: HttpMessage,
-    ) : Inbound
+    ) : Inbound {
+        override val heldBytes =
+            ITEM_BYTES + message
+                .headers()
+                .iteratorCharSequence()
+                .asSequence()
+                .sumOf { it.key.length + it.value.length }
+    }
 
     /** A part of a body. */
     class Body(
         val bytes: ByteArray,
-    ) : Inbound
+    ) : Inbound {
+        override val heldBytes get() = ITEM_BYTES + bytes.size
+    }
 
     /** The message is complete. */
     data object End : Inbound
@@ -37,25 +49,29 @@
 
     /** The server stops: an idle connection is to be closed soon. */
     data object Draining : Inbound
+
+    private companion object {
+        const val ITEM_BYTES = 256
+    }
 }
 
 /** The last handler of a pipeline: hands decoded messages to the connection's coroutine through a channel. */
 internal class Inbox : ChannelInboundHandlerAdapter() {
     private val queue = Channel<Inbound>(Channel.UNLIMITED)
-    private val queued = AtomicInteger()
+    private val heldBytes = AtomicInteger()
 
     @Volatile
     private var netty: NettyChannel? = null
 
     /** Returns the next item, or null when the connection is closed. */
-    suspend fun receive(): Inbound? = queue.receiveCatching().getOrNull()?.also { taken() }
+    suspend fun receive(): Inbound? = queue.receiveCatching().getOrNull()?.also(::taken)
 
     /** Returns an item that has already arrived, or null. */
-    fun poll(): Inbound? = queue.tryReceive().getOrNull()?.also { taken() }
+    fun poll(): Inbound? = queue.tryReceive().getOrNull()?.also(::taken)
 
     /** Adds an item. */
     fun offer(item: Inbound) {
-        if (queued.incrementAndGet() >= PAUSE_AT) pause()
+        if (heldBytes.addAndGet(item.heldBytes) >= PAUSE_AT_BYTES) pause()
         queue.trySend(item)
     }
 
@@ -98,16 +114,17 @@
         val config = netty?.config() ?: return
         config.isAutoRead = false
         // The coroutine may have taken enough meanwhile, and would not resume again.
-        if (queued.get() <= RESUME_AT) config.isAutoRead = true
+        if (heldBytes.get() <= RESUME_AT_BYTES) config.isAutoRead = true
     }
 
-    private fun taken() {
-        if (queued.decrementAndGet() == RESUME_AT) netty?.config()?.isAutoRead = true
+    private fun taken(item: Inbound) {
+        val left = heldBytes.addAndGet(-item.heldBytes)
+        if (left <= RESUME_AT_BYTES && left + item.heldBytes > RESUME_AT_BYTES) netty?.config()?.isAutoRead = true
     }
 
     private companion object {
         // A connection that sends faster than its coroutine takes is not read from, which bounds the memory that it holds.
-        const val PAUSE_AT = 256
-        const val RESUME_AT = 64
+        const val PAUSE_AT_BYTES = 65_536
+        const val RESUME_AT_BYTES = 16_384
     }
 }
