--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -177,6 +177,49 @@
         }
     }
 
+    @Nested
+    @DisplayName("given a target whose response never ends")
+    inner class Endless {
+        private val overLimit = HttpResult.Unknown("10.0.0.1:80: the response is malformed: over 8912896 bytes arrived")
+
+        private fun untilTimeout(): HttpResult {
+            timer.now += 900
+            return HttpResult.Unknown("no whole response from 10.0.0.1:80 within 900 ms")
+        }
+
+        /** Guards against a read that fails although a limit ended its first send early. */
+        @Test
+        fun `sends a read to another target when a limit ends the response`() = runTest {
+            answers = { if (it == 1) overLimit else served() }
+            expectThat(ask("/read/1").status).isEqualTo(200)
+            expectThat(sent.map { it.first }.toSet()).hasSize(2)
+        }
+
+        /** Guards against a booking that runs twice. */
+        @Test
+        fun `answers 502 for a booking and sends it once when a limit ends the response`() = runTest {
+            answers = { overLimit }
+            expectThat(ask("/book/1").status).isEqualTo(502)
+            expectThat(sent).hasSize(1)
+        }
+
+        /** Guards against a booking that runs twice, and an answer that promises that it did not run. */
+        @Test
+        fun `answers 504 for a booking and sends it once when the time ends the response`() = runTest {
+            answers = { untilTimeout() }
+            expectThat(ask("/book/1").status).isEqualTo(504)
+            expectThat(sent).hasSize(1)
+        }
+
+        /** Guards against a repeat that nobody waits for. */
+        @Test
+        fun `answers 504 for a read when the time ends the response`() = runTest {
+            answers = { untilTimeout() }
+            expectThat(ask("/read/1").status).isEqualTo(504)
+            expectThat(sent).hasSize(1)
+        }
+    }
+
     /** Guards against a deadline that grows on the way, and a target at a reused address that runs another service's request. */
     @Test
     fun `tells the target what is left of the time and which instance is meant`() = runTest {
