Release keys at a target that started again at the same address

A renewal that is sent between the restart of a target under the same id and address and the read of its new entry is carried out by the new life, since orders name only the id. The planner took the newer birth for proof that nobody held the keys and granted them elsewhere at once; both held them until the grant ran out. Now it releases there, which is answered at once when nothing runs; only a new life at another address, which cannot have had such a renewal, still counts as proof. SoleOwnershipTest failed first (entry 1.5 s after the restart, cold new life): two holders from 9,699 ms on.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeKeeper.kt
@@ -210,9 +210,11 @@
         return maxOf(ownEndMs, standing.formerGrantsEndAtMs(former.generation))
     }
 
+    /** A new life at the same address may have taken renewals for the former one, so there the keys are released. */
     private fun hasNewLife(holder: Holder): Boolean {
-        val bornMs = directory.find(holder.target)?.entry?.bornMs ?: return false
-        return holder.bornMs != null && bornMs > holder.bornMs
+        val entry = directory.find(holder.target)?.entry ?: return false
+        val bornMs = entry.bornMs ?: return false
+        return holder.bornMs != null && bornMs > holder.bornMs && entry.address.toString() != holder.address
     }
 
     private fun addressOf(holder: Holder) =
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -58,6 +58,17 @@
             data.append(KeyedStream.TARGETS, listOf(FakeRecords.targetChange(entry)))
         }
 
+        /** Ends the life of a target and starts the next one at once under the same id and address. Its entry comes [entryMs] later. */
+        fun restartInPlace(life: HoldingTargets.Life, entryMs: Long) {
+            life.isUp = false
+            val entry = life.entry.copy(bornMs = timer.nowMs() + 1, coldRemainingMs = 3_000)
+            targets.start(entry)
+            scope.launch {
+                delay(entryMs)
+                data.append(KeyedStream.TARGETS, listOf(FakeRecords.targetChange(entry)))
+            }
+        }
+
         fun advance(ms: Long) {
             scheduler.advanceTimeBy(ms)
             scheduler.runCurrent()
@@ -243,6 +254,16 @@
         expectThat(planner()?.node == former.node).isEqualTo(false)
     }
 
+    /** Guards against keys that a new life of a target got by a renewal for its former life, and that are granted elsewhere at once. */
+    @Test
+    fun `keys that a restarted target got by a renewal for its former life are taken back first`() = world(15) {
+        advance(8_000)
+        restartInPlace(targets.lives[0], entryMs = 1_500)
+        advance(12_000)
+        expectThat(targets.violations).isEmpty()
+        expectThat(heldKeys()).isEqualTo(LAST_KEY + 1)
+    }
+
     /** Guards against a partition that resets connections and is taken for the end of the target's process. */
     @Test
     fun `a refused connection from another zone does not show that a target is gone`() = world(9) {
