Give no order after a resignation that got no answer

A planner went on when its resignation had no answer, although the record may stand or be appended later. The next planner takes a resignation for the end of all orders and moves keys at once, while the former one, cut off from the store, went on renewing for up to 5 s. SoleOwnershipTest failed first: two holders from 12,018 ms on, of targets that only the former planner reached.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -86,7 +86,8 @@
         if (own != null && end != null) {
             val vacancy = PlannerTerm(node = "", life = "", term = own.term + 1)
             val result = parts.store.append(KeyedStream.ROUTERS, listOf(RouterRecords.plannerChange(vacancy)), end)
-            hasGivenUp = result is KeyedAppendResult.Appended
+            // Without an answer the record may stand, now or seconds later.
+            hasGivenUp = result is KeyedAppendResult.Appended || result is KeyedAppendResult.Unknown
         }
         parts.group.leave(member)
         return hasGivenUp
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -54,6 +54,9 @@
     /** Appends are carried out, and their answers are lost. */
     var losesAnswers = false
 
+    /** Whether the view is cut right after the next append was carried out. */
+    var isCutByAppend = false
+
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult {
         delay(callMs)
         if (!isServed()) return SnapshotResult.Failed("cut")
@@ -84,6 +87,7 @@
             .toLong()
         if (expectedEndOffset != null && expectedEndOffset != end) return KeyedAppendResult.Conflict(end)
         val first = data.append(stream, changes)
+        isCut = isCut || isCutByAppend
         delay(callMs)
         return if (losesAnswers) KeyedAppendResult.Unknown("lost") else KeyedAppendResult.Appended(first)
     }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -34,6 +34,9 @@
         val data = FakeStoreData(timer)
         val targets = HoldingTargets(timer, scope, random)
         val cuts = HashSet<Pair<String, String>>()
+
+        /** Routers that the others cannot ask. */
+        val unreachablePlanners = HashSet<String>()
         val routers = LinkedHashMap<String, PlanningRouter>()
         private var lives = 0
         private var addresses = 0
@@ -46,7 +49,9 @@
 
         fun startRouter(node: String) {
             val isCutFrom = { target: String -> (node to target) in cuts }
-            val probe = PlannerProbe { planner -> routers[planner.node]?.isActing(planner.life) ?: false }
+            val probe = PlannerProbe { planner ->
+                planner.node !in unreachablePlanners && routers[planner.node]?.isActing(planner.life) ?: false
+            }
             val router = PlanningRouter(node, "life${lives++}", FakeStore(data), SuspendableProcess(scheduler), targets, isCutFrom, probe)
             routers[node] = router
             router.start(scope)
@@ -254,6 +259,30 @@
         expectThat(planner()?.node == former.node).isEqualTo(false)
     }
 
+    /** Cuts the router and the targets with [ids] off from the others, but not from each other. The entries of the targets lapse. */
+    private fun World.isolate(router: PlanningRouter, ids: Set<String>) {
+        routers.keys.forEach { node ->
+            targets.lives.forEach { if ((node == router.node) != (it.entry.id in ids)) cuts += node to it.entry.id }
+        }
+        unreachablePlanners += router.node
+        ids.forEach { id -> removeEntry(targets.lives.first { it.entry.id == id }) }
+    }
+
+    /** Guards against a planner that goes on although its resignation, whose answer was lost, stands in the store. */
+    @Test
+    fun `a planner whose resignation got no answer gives no more orders`() = world(14) {
+        advance(6_000)
+        val former = planner()!!
+        former.store.losesAnswers = true
+        former.store.isCutByAppend = true
+        scope.launch { former.resign() }
+        advance(200)
+        isolate(former, setOf("t0", "t1"))
+        advance(20_000)
+        expectThat(targets.violations).isEmpty()
+        expectThat(planner()?.node == former.node).isEqualTo(false)
+    }
+
     /** Guards against keys that a new life of a target got by a renewal for its former life, and that are granted elsewhere at once. */
     @Test
     fun `keys that a restarted target got by a renewal for its former life are taken back first`() = world(15) {
