Wait for the planner before the one that resigned, too

A planner that had just taken over from one that may still act, and resigned within the 5.3 s for which it must wait, left a record after which its successor moved keys at once. The first one could still renew. The resignation now says whether all former planners have ended. A planner's own earlier life is not covered yet.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -84,7 +84,7 @@
         val own = records.planner?.takeIf { it.node == node && it.life == life }
         val end = records.endOffset
         if (own != null && end != null) {
-            val vacancy = PlannerTerm(node = "", life = "", term = own.term + 1)
+            val vacancy = PlannerTerm(node = "", life = "", term = own.term + 1, haveFormersEnded = timer.nowMs() >= movesAllowedAtMs)
             val result = parts.store.append(KeyedStream.ROUTERS, listOf(RouterRecords.plannerChange(vacancy)), end)
             // Without an answer the record may stand, now or seconds later.
             hasGivenUp = result is KeyedAppendResult.Appended || result is KeyedAppendResult.Unknown
@@ -145,7 +145,8 @@
         val nowMs = timer.nowMs()
         termEndOffset = endOffset
         // A planner that has resigned, or an earlier life of this router, gives no more orders; the grants that it gave may last.
-        val hasEnded = former == null || former.isVacant || former.node == node
+        // The one before it may still act when the resignation came soon.
+        val hasEnded = former == null || (former.isVacant && former.haveFormersEnded) || former.node == node
         val formerEndsAtMs = if (hasEnded) nowMs else nowMs + settings.longestAuthorityMs
         movesAllowedAtMs = formerEndsAtMs
         formerGrantsEndAtMs = if (former == null) nowMs else formerEndsAtMs + settings.orderTimeoutMs + settings.longestHoldMs
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RouterRecords.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RouterRecords.kt
@@ -22,12 +22,14 @@
  * @property node the router, or empty after the planner has resigned.
  * @property life tells two lives of the router [node] apart.
  * @property term rises with each change of the planner.
+ * @property haveFormersEnded whether no planner before the one that resigned can give an order any more. Set by a resignation only.
  */
 @Serializable
 internal data class PlannerTerm(
     val node: String,
     val life: String,
     val term: Long,
+    val haveFormersEnded: Boolean = false,
 ) {
     /** Whether the former planner has resigned and none has followed yet. */
     val isVacant: Boolean get() = node.isEmpty()
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -51,6 +51,9 @@
     MemberGroup {
     var isCut = false
 
+    /** Whether the view is cut from the group, but not from the store. */
+    var isCutFromGroup = false
+
     /** Appends are carried out, and their answers are lost. */
     var losesAnswers = false
 
@@ -94,7 +97,7 @@
 
     override suspend fun join(member: String, generation: Long, ttlMs: Long): JoinResult {
         delay(callMs)
-        if (!isServed()) return JoinResult.Failed("cut")
+        if (!isServed() || isCutFromGroup) return JoinResult.Failed("cut")
         data.memberSeenAtMs[member] = data.timer.nowMs()
         data.memberSeenAtMs.values.removeIf { data.timer.nowMs() - it > ttlMs }
         return JoinResult.Joined(1, data.memberSeenAtMs.keys.first() == member)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -259,6 +259,37 @@
         expectThat(planner()?.node == former.node).isEqualTo(false)
     }
 
+    /** Guards against a successor's successor that takes a resignation for the end of all former planners. */
+    @Test
+    fun `the successor of a planner that resigns soon waits for the one before, which is cut off with its targets`() {
+        val isSucceeded: World.(PlanningRouter) -> Boolean = { former -> (routers.values - former).any { it.authority.isValid() } }
+        var succeededAtMs = 0L
+        world(13) {
+            advance(6_000)
+            val former = planner()!!.also { loseFromGroup(it) }
+            while (!isSucceeded(former)) advance(10)
+            succeededAtMs = timer.nowMs()
+        }
+        world(13) {
+            advance(6_000)
+            val former = planner()!!.also { loseFromGroup(it) }
+            advance(succeededAtMs - 6_000 - CUT_BEFORE_MS)
+            former.store.isCut = true
+            isolate(former, setOf("t0", "t1"))
+            while (!isSucceeded(former)) advance(10)
+            val successor = (routers.values - former).first { it.authority.isValid() }
+            scope.launch { successor.resign() }
+            advance(20_000)
+            expectThat(targets.violations).isEmpty()
+            expectThat(planner()?.node == former.node).isEqualTo(false)
+        }
+    }
+
+    private fun World.loseFromGroup(router: PlanningRouter) {
+        router.store.isCutFromGroup = true
+        unreachablePlanners += router.node
+    }
+
     /** Cuts the router and the targets with [ids] off from the others, but not from each other. The entries of the targets lapse. */
     private fun World.isolate(router: PlanningRouter, ids: Set<String>) {
         routers.keys.forEach { node ->
@@ -372,6 +403,7 @@
     private companion object {
         const val SCHEDULES = 60
         const val FAULTS_PER_SCHEDULE = 14
+        const val CUT_BEFORE_MS = 60L
         const val LONGEST_SUSPENSION_MS = 15_000L
     }
 }
