--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -51,9 +51,15 @@
     MemberGroup {
     var isCut = false
 
+    /** Whether the view is cut from the group, but not from the store. */
+    var isCutFromGroup = false
+
     /** Appends are carried out, and their answers are lost. */
     var losesAnswers = false
 
+    /** Whether the view is cut right after the next append was carried out. */
+    var isCutByAppend = false
+
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult {
         delay(callMs)
         if (!isServed()) return SnapshotResult.Failed("cut")
@@ -84,13 +90,14 @@
             .toLong()
         if (expectedEndOffset != null && expectedEndOffset != end) return KeyedAppendResult.Conflict(end)
         val first = data.append(stream, changes)
+        isCut = isCut || isCutByAppend
         delay(callMs)
         return if (losesAnswers) KeyedAppendResult.Unknown("lost") else KeyedAppendResult.Appended(first)
     }
 
     override suspend fun join(member: String, generation: Long, ttlMs: Long): JoinResult {
         delay(callMs)
-        if (!isServed()) return JoinResult.Failed("cut")
+        if (!isServed() || isCutFromGroup) return JoinResult.Failed("cut")
         data.memberSeenAtMs[member] = data.timer.nowMs()
         data.memberSeenAtMs.values.removeIf { data.timer.nowMs() - it > ttlMs }
         return JoinResult.Joined(1, data.memberSeenAtMs.keys.first() == member)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -34,6 +34,9 @@
         val data = FakeStoreData(timer)
         val targets = HoldingTargets(timer, scope, random)
         val cuts = HashSet<Pair<String, String>>()
+
+        /** Routers that the others cannot ask. */
+        val unreachablePlanners = HashSet<String>()
         val routers = LinkedHashMap<String, PlanningRouter>()
         private var lives = 0
         private var addresses = 0
@@ -46,7 +49,9 @@
 
         fun startRouter(node: String) {
             val isCutFrom = { target: String -> (node to target) in cuts }
-            val probe = PlannerProbe { planner -> routers[planner.node]?.isActing(planner.life) ?: false }
+            val probe = PlannerProbe { planner ->
+                planner.node !in unreachablePlanners && routers[planner.node]?.isActing(planner.life) ?: false
+            }
             val router = PlanningRouter(node, "life${lives++}", FakeStore(data), SuspendableProcess(scheduler), targets, isCutFrom, probe)
             routers[node] = router
             router.start(scope)
@@ -58,6 +63,17 @@
             data.append(KeyedStream.TARGETS, listOf(FakeRecords.targetChange(entry)))
         }
 
+        /** Ends the life of a target and starts the next one at once under the same id and address. Its entry comes [entryMs] later. */
+        fun restartInPlace(life: HoldingTargets.Life, entryMs: Long) {
+            life.isUp = false
+            val entry = life.entry.copy(bornMs = timer.nowMs() + 1, coldRemainingMs = 3_000)
+            targets.start(entry)
+            scope.launch {
+                delay(entryMs)
+                data.append(KeyedStream.TARGETS, listOf(FakeRecords.targetChange(entry)))
+            }
+        }
+
         fun advance(ms: Long) {
             scheduler.advanceTimeBy(ms)
             scheduler.runCurrent()
@@ -243,6 +259,71 @@
         expectThat(planner()?.node == former.node).isEqualTo(false)
     }
 
+    /** Guards against a successor's successor that takes a resignation for the end of all former planners. */
+    @Test
+    fun `the successor of a planner that resigns soon waits for the one before, which is cut off with its targets`() {
+        val isSucceeded: World.(PlanningRouter) -> Boolean = { former -> (routers.values - former).any { it.authority.isValid() } }
+        var succeededAtMs = 0L
+        world(13) {
+            advance(6_000)
+            val former = planner()!!.also { loseFromGroup(it) }
+            while (!isSucceeded(former)) advance(10)
+            succeededAtMs = timer.nowMs()
+        }
+        world(13) {
+            advance(6_000)
+            val former = planner()!!.also { loseFromGroup(it) }
+            advance(succeededAtMs - 6_000 - CUT_BEFORE_MS)
+            former.store.isCut = true
+            isolate(former, setOf("t0", "t1"))
+            while (!isSucceeded(former)) advance(10)
+            val successor = (routers.values - former).first { it.authority.isValid() }
+            scope.launch { successor.resign() }
+            advance(20_000)
+            expectThat(targets.violations).isEmpty()
+            expectThat(planner()?.node == former.node).isEqualTo(false)
+        }
+    }
+
+    private fun World.loseFromGroup(router: PlanningRouter) {
+        router.store.isCutFromGroup = true
+        unreachablePlanners += router.node
+    }
+
+    /** Cuts the router and the targets with [ids] off from the others, but not from each other. The entries of the targets lapse. */
+    private fun World.isolate(router: PlanningRouter, ids: Set<String>) {
+        routers.keys.forEach { node ->
+            targets.lives.forEach { if ((node == router.node) != (it.entry.id in ids)) cuts += node to it.entry.id }
+        }
+        unreachablePlanners += router.node
+        ids.forEach { id -> removeEntry(targets.lives.first { it.entry.id == id }) }
+    }
+
+    /** Guards against a planner that goes on although its resignation, whose answer was lost, stands in the store. */
+    @Test
+    fun `a planner whose resignation got no answer gives no more orders`() = world(14) {
+        advance(6_000)
+        val former = planner()!!
+        former.store.losesAnswers = true
+        former.store.isCutByAppend = true
+        scope.launch { former.resign() }
+        advance(200)
+        isolate(former, setOf("t0", "t1"))
+        advance(20_000)
+        expectThat(targets.violations).isEmpty()
+        expectThat(planner()?.node == former.node).isEqualTo(false)
+    }
+
+    /** Guards against keys that a new life of a target got by a renewal for its former life, and that are granted elsewhere at once. */
+    @Test
+    fun `keys that a restarted target got by a renewal for its former life are taken back first`() = world(15) {
+        advance(8_000)
+        restartInPlace(targets.lives[0], entryMs = 1_500)
+        advance(12_000)
+        expectThat(targets.violations).isEmpty()
+        expectThat(heldKeys()).isEqualTo(LAST_KEY + 1)
+    }
+
     /** Guards against a partition that resets connections and is taken for the end of the target's process. */
     @Test
     fun `a refused connection from another zone does not show that a target is gone`() = world(9) {
@@ -322,6 +403,7 @@
     private companion object {
         const val SCHEDULES = 60
         const val FAULTS_PER_SCHEDULE = 14
+        const val CUT_BEFORE_MS = 60L
         const val LONGEST_SUSPENSION_MS = 15_000L
     }
 }
