Tests of true refusals, at-most-once and the budget of repeats

The class had no test that failed when a refusal was not true: "never refuses after a send without an answer" asks with a request that is never sent again, so refuse() is not reached after a send. The budget test had one target, so nothing could be repeated with or without a budget.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/SharedAllowancesTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/SharedAllowancesTest.kt
@@ -1,8 +1,10 @@
 package yuccaflow.entry.balance
 
 import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import yuccaflow.entry.config.OperatorState
@@ -72,6 +74,43 @@
         expectThat(repeats).isGreaterThan(100)
     }
 
+    @Nested
+    @DisplayName("with a budget of repeats and hardly any requests")
+    inner class QuietRouters {
+        private val settings = RepeatBudgetSettings(share = 0.2, extraSends = 58.0, windowMs = 10_000)
+        private val budgets = List(9) { RepeatBudget(settings) { 9 } }
+
+        private fun repeatsIn(windowMs: Long): Int {
+            var repeats = 0
+            repeat((windowMs / 20).toInt()) {
+                timer.now += 20
+                budgets.forEach { if (it.spend(timer.now)) repeats++ }
+            }
+            return repeats
+        }
+
+        /** Guards against routers that each use what all of them may use together. */
+        @Test
+        fun `all routers together send no more than the extra sends of a window`() {
+            expectThat(repeatsIn(settings.windowMs).toDouble()).isLessThanOrEqualTo(settings.extraSends)
+        }
+
+        /** Guards against a budget that is saved up over quiet hours and spent in one window. */
+        @Test
+        fun `a quiet time does not raise what a later window may use`() {
+            budgets.forEach { it.earn(timer.now) }
+            timer.now += 3_600_000
+            budgets.forEach { it.earn(timer.now) }
+            expectThat(repeatsIn(settings.windowMs).toDouble()).isLessThanOrEqualTo(settings.extraSends)
+        }
+
+        /** Guards against a router that restarts again and again and spends a full budget each time. */
+        @Test
+        fun `a fresh router sends no repeat at once`() {
+            expectThat(budgets.count { it.spend(timer.now) }).isEqualTo(0)
+        }
+    }
+
     private companion object {
         val BOUNDS = ColdBounds(factor = 1.5, slack = 5.0)
     }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
@@ -86,21 +87,22 @@
         timer,
         log,
     )
-    private val budget = RepeatBudget(RepeatBudgetSettings(share = 1.0, extraSends = 100.0, windowMs = 1_000)) { 1 }
+    private var budget = RepeatBudget(RepeatBudgetSettings(share = 1.0, extraSends = 100.0, windowMs = 1_000)) { 1 }
 
     private fun served(status: Int = 200) =
         HttpResult.Answered(HttpResponse(status, headersOf(names.signature to "sig"), "body".toByteArray()))
 
     private fun shed() = HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1")))
 
-    private suspend fun ask(path: String, targets: Int = 3): HttpResponse {
+    private suspend fun ask(path: String, targets: Int = 3, deadlineMs: Long = 900): HttpResponse {
         operators.onSnapshot(listOf(KeyedRecord("table", ByteArray(0), 0)), 1)
         val entries = List(targets) { FakeRecords.targetChange(FakeRecords.entry("t$it", it + 1, service = "s")) }
         directory.onSnapshot(entries.mapIndexed { index, change -> KeyedRecord(change.key, change.value, index.toLong()) }, 9)
         budget.earn(timer.now)
         timer.now += 1_000
         budget.earn(timer.now)
-        return router.handle(HttpRequest("GET", path, headersOf("Host" to "h", names.requestId to "r1", names.deadlineMs to "900")))
+        val headers = headersOf("Host" to "h", names.requestId to "r1", names.deadlineMs to "$deadlineMs")
+        return router.handle(HttpRequest("GET", path, headers))
     }
 
     @Nested
@@ -138,6 +140,94 @@
         }
     }
 
+    @Nested
+    @DisplayName("given a target that fails a request without saying that it did not run")
+    inner class UnmarkedFailure {
+        /** Guards against a booking that runs twice because a failure is taken for a target that is full. */
+        @Test
+        fun `does not send a request that must run at most once again`() = runTest {
+            answers = { HttpResult.Answered(HttpResponse(503)) }
+            ask("/book/1")
+            expectThat(sent).hasSize(1)
+        }
+    }
+
+    @Nested
+    @DisplayName("when no target is left after a send that may have run")
+    inner class RefusedAfterSend {
+        /** Guards against a refusal that promises "not run" although the answer to an earlier send was lost. */
+        @Test
+        fun `does not refuse when an answer was lost`() = runTest {
+            answers = { if (it == 1) HttpResult.Unknown("reset") else shed() }
+            expectThat(ask("/read/1").status).isEqualTo(502)
+            expectThat(sent.size).isGreaterThan(1)
+        }
+
+        /** Guards against a refusal that promises "not run" although an earlier target ran the request and failed it. */
+        @Test
+        fun `does not refuse when a target has failed the request`() = runTest {
+            answers = { if (it == 1) served(500) else shed() }
+            expectThat(ask("/read/1").status).isEqualTo(502)
+            expectThat(sent.size).isGreaterThan(1)
+        }
+    }
+
+    @Nested
+    @DisplayName("given no budget for repeats")
+    inner class WithoutBudget {
+        /** Guards against repeats after lost answers that multiply the load of targets in trouble. */
+        @Test
+        fun `does not send again when the answer is lost, though other targets are free`() = runTest {
+            answers = { HttpResult.Unknown("reset") }
+            budget = RepeatBudget(RepeatBudgetSettings(share = 0.0, extraSends = 0.0, windowMs = 1_000)) { 1 }
+            expectThat(ask("/read/1").status).isEqualTo(502)
+            expectThat(sent).hasSize(1)
+        }
+
+        /** Guards against repeats after sheds, which cost the full targets time and count as sends. */
+        @Test
+        fun `does not send again when the target is full, though other targets are free`() = runTest {
+            answers = { shed() }
+            budget = RepeatBudget(RepeatBudgetSettings(share = 0.0, extraSends = 0.0, windowMs = 1_000)) { 1 }
+            expectThat(ask("/read/1").status).isEqualTo(503)
+            expectThat(sent).hasSize(1)
+        }
+    }
+
+    @Nested
+    @DisplayName("given little time")
+    inner class LittleTime {
+        /** Guards against work for a caller that has given up. */
+        @Test
+        fun `refuses a request whose time is over without a send`() = runTest {
+            expectThat(ask("/read/1", deadlineMs = 1).status).isEqualTo(503)
+            expectThat(sent.map { it.first }).containsExactly()
+        }
+
+        /** Guards against a second run of a request that a target may still be busy with. */
+        @Test
+        fun `does not send again after the time of the target is over`() = runTest {
+            answers = { HttpResult.Unknown("no whole response in time") }
+            expectThat(ask("/read/1").status).isEqualTo(504)
+            expectThat(sent).hasSize(1)
+        }
+
+        /** Guards against a repeat that cannot be answered in time and only adds load. */
+        @Test
+        fun `does not send again when a repeat cannot be answered in time`() = runTest {
+            ask("/read/1")
+            sent.clear()
+            // Fast targets, so that only the time that is left speaks against a repeat.
+            directory.ofService("s").forEach { it.responded(1, 1.0) }
+            answers = {
+                timer.now += 880
+                HttpResult.Unknown("reset")
+            }
+            expectThat(ask("/read/1").status).isEqualTo(502)
+            expectThat(sent).hasSize(1)
+        }
+    }
+
     @Nested
     @DisplayName("given a request that may run again")
     inner class Idempotent {
