--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyedChooserTest.kt
@@ -0,0 +1,128 @@
+package yuccaflow.entry.routing
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import yuccaflow.entry.balance.ChoiceContext
+import yuccaflow.entry.balance.ColdAllowance
+import yuccaflow.entry.balance.ColdBounds
+import yuccaflow.entry.balance.TargetChoice
+import yuccaflow.entry.balance.TargetChooser
+import yuccaflow.entry.config.OperatorState
+import yuccaflow.entry.config.RequestKind
+import yuccaflow.entry.config.Route
+import yuccaflow.entry.config.ServiceShare
+import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.directory.TargetEntry
+import yuccaflow.entry.fake.FakeRecords
+import yuccaflow.entry.fake.KEYED_SERVICE
+import yuccaflow.entry.fake.RecordingLog
+import yuccaflow.entry.fake.SetTimer
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.RouterRecords
+import yuccaflow.entry.keys.holderOf
+import yuccaflow.entry.store.KeyedRecord
+
+/** All keys belong to target `t1`. */
+@DisplayName("The chooser of a key's owner")
+class KeyedChooserTest {
+    private val timer = SetTimer(10_000)
+    private val log = RecordingLog()
+    private val operators = OperatorState(FakeRecords, timer, log)
+    private val directory = TargetDirectory(FakeRecords, operators, timer, log) { null }
+    private val records = RouterRecords(timer, log)
+    private val targets = TargetChooser(directory, "a", timer, ColdAllowance("r", ColdBounds(1.5, 5.0), operators) { setOf("r") })
+    private val chooser = KeyedChooser(records, directory, operators, targets, timer) { }
+    private val route =
+        Route("read", "h", "/", RequestKind.IDEMPOTENT, 1_000, 200, 2, 1, persistentListOf(ServiceShare(KEYED_SERVICE, 1.0)))
+    private val owner = FakeRecords.entry("t1", 1, zone = "z", bornMs = 5)
+
+    init {
+        write(owner)
+        assign(isMoving = false)
+    }
+
+    private fun write(entry: TargetEntry) = FakeRecords.targetChange(entry).let { writeTarget(it.key, it.value) }
+
+    private fun writeTarget(id: String, value: ByteArray?) = directory.onRecords(listOf(KeyedRecord(id, value, 0)), 1)
+
+    private fun assign(isMoving: Boolean) {
+        val assignment = Assignment(KEYED_SERVICE, FIRST_KEY, LAST_KEY, holderOf(owner), 1, emptyList(), isMoving)
+        val change = RouterRecords.rangeChange(assignment)
+        records.onRecords(listOf(KeyedRecord(change.key, change.value, 0)), 1)
+    }
+
+    private suspend fun chosen(): String? {
+        val context = ChoiceContext(route, FakeRecords.rules(KEYED_SERVICE, isKeyed = true), emptySet(), 1_000)
+        return (chooser.choose(KEY, context) as? TargetChoice.Chosen)?.target?.entry?.id
+    }
+
+    @Nested
+    @DisplayName("given an owner that leaves")
+    inner class Leaving {
+        /** Guards against new work for a target more than 2 s after it said that it drains, and against keys that wait before that. */
+        @Test
+        fun `chooses it until shortly before two seconds have passed since it began to drain`() = runTest {
+            write(owner.copy(isDraining = true))
+            expectThat(chosen()).isEqualTo("t1")
+            timer.now += 1_900
+            expectThat(chosen()).isNull()
+        }
+
+        /** Guards against new work in a zone more than 5 s after the operators have emptied it. */
+        @Test
+        fun `chooses it until shortly before five seconds have passed since its zone was emptied`() = runTest {
+            operators.onRecords(listOf(KeyedRecord("empty/z", ByteArray(1), 0)), 1)
+            expectThat(chosen()).isEqualTo("t1")
+            timer.now += 4_800
+            expectThat(chosen()).isNull()
+        }
+
+        /** Guards against keys that nobody serves although their owner still does, and against work for it after 2 s. */
+        @Test
+        fun `chooses it for a while after its entry is gone`() = runTest {
+            writeTarget("t1", null)
+            expectThat(chosen()).isEqualTo("t1")
+            timer.now += 1_900
+            expectThat(chosen()).isNull()
+        }
+    }
+
+    @Nested
+    @DisplayName("given an owner that does not hold the key")
+    inner class NotHolding {
+        /** Guards against work for a new life of the owner, which has lost all grants. */
+        @Test
+        fun `does not choose another life of the owner`() = runTest {
+            write(owner.copy(bornMs = 6))
+            expectThat(chosen()).isNull()
+        }
+
+        /** Guards against requests that reach the new owner before its grant. */
+        @Test
+        fun `waits for a grant that is on its way`() = runTest {
+            assign(isMoving = true)
+            expectThat(chosen()).isNull()
+            timer.now += 300
+            expectThat(chosen()).isEqualTo("t1")
+        }
+    }
+
+    /** Guards against requests that run into an owner which cannot be reached. */
+    @Test
+    fun `does not choose a suspected owner`() = runTest {
+        directory.find("t1")!!.failed(timer.now, isUnreachable = true)
+        expectThat(chosen()).isNull()
+    }
+
+    private companion object {
+        const val KEY = 7
+    }
+}
