Tests of the planner's waits, one for each

In all schedules the former planner still answered the successor's question, so the successor came only when its authority had ended anyway, and its waits had no effect on the result. The world of SoleOwnershipTest moved into a file of its own, unchanged but for the number of routers and the routers that answer nobody.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -54,6 +54,9 @@
     /** Appends are carried out, and their answers are lost. */
     var losesAnswers = false
 
+    /** How long an append is on its way to the store. */
+    var appendOnWayMs = callMs
+
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult {
         delay(callMs)
         if (!isServed()) return SnapshotResult.Failed("cut")
@@ -76,7 +79,7 @@
     }
 
     override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?): KeyedAppendResult {
-        delay(callMs)
+        delay(appendOnWayMs)
         if (!isServed()) return KeyedAppendResult.NotAppended("cut")
         val end = data.records
             .getValue(stream)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeKeeperTest.kt
@@ -7,12 +7,15 @@
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.fake.FakeRecords
@@ -54,10 +57,13 @@
         }
     }
 
+    private var hasAuthority = true
+    private var formerHasEnded = true
+
     private val standing = object : PlannerStanding {
-        override fun mayOrder() = true
+        override fun mayOrder() = hasAuthority
 
-        override fun mayMove() = true
+        override fun mayMove() = hasAuthority && formerHasEnded
 
         override fun formerGrantsEndAtMs(generation: Long) = Long.MIN_VALUE
 
@@ -121,4 +127,57 @@
         expectThat(sent.filter { it.order == "release" }).isEmpty()
         expectThat(sent.map { it.generation }).contains(9L)
     }
+
+    @Nested
+    @DisplayName("while a grant is on its way")
+    inner class GrantOnItsWay {
+        /** Guards against a release that overtakes the grant before it: the former holder would hold the keys again. */
+        @Test
+        fun `releases the keys only after that grant was given up`() {
+            answer = KeyOrderResult.NoAnswer("silent")
+            val first = assignment(0, 5)
+            keeper.keep(scope, listOf(first))
+            advance(100)
+            keeper.keep(scope, listOf(movedFrom(first, 1, 9)))
+            advance(5_000)
+            val grant = sent.single { it.target == "t0" && it.order == "grant" }
+            expectThat(sent.first { it.order == "release" }.startedAtMs).isGreaterThanOrEqualTo(grant.givenUpAtMs)
+        }
+
+        /** Guards against an order of a former planner: its authority ends while the order waits for its turn. */
+        @Test
+        fun `sends none of the grants that wait behind it once the authority has ended`() {
+            answer = KeyOrderResult.NoAnswer("silent")
+            keeper.keep(scope, (0..9).map { assignment(0, 5, from = it * 10, to = it * 10 + 9) })
+            advance(100)
+            hasAuthority = false
+            advance(5_000)
+            expectThat(sent.filter { it.startedAtMs > 100 }).isEmpty()
+        }
+    }
+
+    /** Guards against keys that are taken from their holder while a former planner may still grant them. */
+    @Test
+    fun `takes no keys from a holder while a former planner may act`() {
+        formerHasEnded = false
+        val first = assignment(0, 5)
+        keeper.keep(scope, listOf(movedFrom(first, 1, 9)))
+        advance(5_000)
+        expectThat(sent).isEmpty()
+        formerHasEnded = true
+        advance(1_000)
+        expectThat(sent).isNotEmpty()
+    }
+
+    /** Guards against keys that stay with a target that answers nothing, for as long as its entry stands. */
+    @Test
+    fun `counts a holder as lost when it has answered no renewal for as long as a grant lasts`() {
+        answer = KeyOrderResult.NoAnswer("silent")
+        val silent = assignment(0, 5).copy(isMoving = false)
+        keeper.keep(scope, listOf(silent))
+        advance(settings.holdMs - 100)
+        expectThat(keeper.isLost(silent.holder)).isFalse()
+        advance(2_000)
+        expectThat(keeper.isLost(silent.holder)).isTrue()
+    }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SoleOwnershipTest.kt
@@ -1,11 +1,6 @@
 package yuccaflow.entry.keys
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.test.StandardTestDispatcher
-import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -13,88 +8,10 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
-import yuccaflow.entry.fake.FakeRecords
-import yuccaflow.entry.fake.FakeStore
-import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.KEYED_SERVICE
-import yuccaflow.entry.fake.SuspendableProcess
-import yuccaflow.entry.fake.VirtualTimer
-import yuccaflow.entry.store.KeyedStream
-import kotlin.random.Random
 
 @DisplayName("Planners of several routers")
 class SoleOwnershipTest {
-    private class World(
-        seed: Int,
-    ) {
-        val random = Random(seed)
-        val scheduler = TestCoroutineScheduler()
-        val timer = VirtualTimer(scheduler)
-        val scope = CoroutineScope(StandardTestDispatcher(scheduler))
-        val data = FakeStoreData(timer)
-        val targets = HoldingTargets(timer, scope, random)
-        val cuts = HashSet<Pair<String, String>>()
-        val routers = LinkedHashMap<String, PlanningRouter>()
-        private var lives = 0
-        private var addresses = 0
-
-        init {
-            data.append(KeyedStream.OPERATORS, listOf(FakeRecords.tableChange(1)))
-            repeat(5) { startTarget("t$it") }
-            repeat(3) { startRouter("r$it") }
-        }
-
-        fun startRouter(node: String) {
-            val isCutFrom = { target: String -> (node to target) in cuts }
-            val probe = PlannerProbe { planner -> routers[planner.node]?.isActing(planner.life) ?: false }
-            val router = PlanningRouter(node, "life${lives++}", FakeStore(data), SuspendableProcess(scheduler), targets, isCutFrom, probe)
-            routers[node] = router
-            router.start(scope)
-        }
-
-        fun startTarget(id: String) {
-            val entry = FakeRecords.entry(id, ++addresses, bornMs = timer.nowMs() + 1)
-            targets.start(entry)
-            data.append(KeyedStream.TARGETS, listOf(FakeRecords.targetChange(entry)))
-        }
-
-        fun advance(ms: Long) {
-            scheduler.advanceTimeBy(ms)
-            scheduler.runCurrent()
-        }
-
-        /** Keys that exactly one live target holds. */
-        fun heldKeys(): Int = (FIRST_KEY..LAST_KEY step STEP).count { key -> holdersOf(key) == 1 } * STEP
-
-        private fun holdersOf(key: Int) = targets.lives.count { it.holds(KeySpan(key, key, 0)) }
-
-        /** Suspends the router for [ms]; its steady clock [standsStill] or goes on. */
-        fun suspend(router: PlanningRouter, ms: Long, standsStill: Boolean) {
-            router.process.suspend()
-            scope.launch {
-                delay(ms)
-                router.process.resume(if (standsStill) ms else 0)
-            }
-        }
-
-        fun planner(): PlanningRouter? = routers.values.firstOrNull { it.authority.isValid() }
-
-        fun close() = scope.cancel()
-
-        private companion object {
-            const val STEP = 256
-        }
-    }
-
-    private fun world(seed: Int, run: World.() -> Unit) {
-        val world = World(seed)
-        try {
-            world.run()
-        } finally {
-            world.close()
-        }
-    }
-
     /** Guards against keys that nobody is granted at the first start. */
     @Test
     fun `all keys are granted to one target each soon after the first start`() = world(1) {
@@ -140,6 +57,18 @@
         expectThat(targets.violations).isEmpty()
     }
 
+    /** Guards against keys that stay with a target that leaves and soon gets no work any more. */
+    @Test
+    fun `keys of a target that drains are granted elsewhere within two seconds`() = world(13) {
+        advance(8_000)
+        val leaving = targets.lives[0]
+        rewrite(leaving.entry.copy(isDraining = true))
+        advance(2_000)
+        expectThat(leaving.holds(KeySpan(FIRST_KEY, LAST_KEY, 0))).isEqualTo(false)
+        expectThat(heldKeys()).isEqualTo(LAST_KEY + 1)
+        expectThat(targets.violations).isEmpty()
+    }
+
     /** Guards against a planned stop after which nobody renews or moves keys for seconds. */
     @Test
     fun `another router takes over within a second when the planner stops in order`() = world(5) {
@@ -194,7 +123,7 @@
         expectThat(grants).isGreaterThan(SCHEDULES * 100)
     }
 
-    private fun World.randomFault() {
+    private fun PlanningWorld.randomFault() {
         val node = routers.keys.random(random)
         val target = targets.lives.random(random)
         when (random.nextInt(12)) {
@@ -216,10 +145,6 @@
         }
     }
 
-    private fun World.removeEntry(target: HoldingTargets.Life) {
-        data.append(KeyedStream.TARGETS, listOf(yuccaflow.entry.store.KeyedChange(target.entry.id, null)))
-    }
-
     /** Guards against a successor that counts the end of a grant from its own failed renewal, while the former planner still renews. */
     @Test
     fun `a successor waits for the grants of a planner that is cut off with its targets`() = world(8) {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestCoroutineScheduler
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
@@ -12,6 +13,8 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import yuccaflow.entry.fake.RecordingLog
 import yuccaflow.entry.fake.VirtualTimer
 
@@ -53,11 +56,15 @@
     private val seen = Seen()
     private val log = RecordingLog()
 
-    private fun follow(store: KeyedStore, forMs: Long = 5_000) = runTest {
-        val follower = StreamFollower(store, KeyedStream.ROUTERS, VirtualTimer(testScheduler), log, seen) { FollowerSettings() }
-        val job = launch { follower.run() }
-        testScheduler.advanceTimeBy(forMs)
-        job.cancel()
+    private fun follow(store: KeyedStore, forMs: Long = 5_000): StreamFollower {
+        val scheduler = TestCoroutineScheduler()
+        val follower = StreamFollower(store, KeyedStream.ROUTERS, VirtualTimer(scheduler), log, seen) { FollowerSettings() }
+        runTest(scheduler) {
+            val job = launch { follower.run() }
+            testScheduler.advanceTimeBy(forMs)
+            job.cancel()
+        }
+        return follower
     }
 
     /** Guards against a record that is skipped because an answer without records names a later end. */
@@ -79,6 +86,13 @@
         expectThat(settings.settleWaitMs).isLessThanOrEqualTo(1_000)
     }
 
+    /** Guards against a planner that acts although a record beyond the ones it has read names another one. */
+    @Test
+    fun `takes only a read that reached the end of the stream for a confirmation`() {
+        expectThat(follow(Script(listOf(FeedResult.Read(listOf(record("a", 4)), 9)))).confirmedAtMs).isNull()
+        expectThat(follow(Script(listOf(FeedResult.Read(listOf(record("a", 4)), 5)))).confirmedAtMs).isNotNull()
+    }
+
     /** Guards against history that was dropped and leaves the follower where it was. */
     @Test
     fun `takes a new snapshot when the history was dropped`() {
