--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
@@ -80,6 +80,15 @@
         expectThat(directory.ofService(KEYED_SERVICE).size).isEqualTo(1)
     }
 
+    /** Guards against a zone that stays empty for ever because the record that gave it back was never read. */
+    @Test
+    fun `a zone that a newer snapshot does not empty is open again`() {
+        write(FakeRecords.entry("t", 1, zone = "z"))
+        operators.onRecords(listOf(KeyedRecord("empty/z", ByteArray(1), 1)), 2)
+        operators.onSnapshot(emptyList(), 9)
+        expectThat(directory.isOpen(directory.find("t")!!)).isTrue()
+    }
+
     /** Guards against a routing table that reverts to an older version. */
     @Test
     fun `an older routing table never replaces a newer one`() {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/RelayedAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/RelayedAccessTest.kt
@@ -40,11 +40,12 @@
         val peerStore = FakeStore(data)
         val log = RecordingLog()
         val peer = SocketAddress("10.0.0.2", 1)
+        private val otherPeer = SocketAddress("10.0.0.4", 1)
         private val records = RouterRecords(timer, log)
         private val authority = PlannerAuthority("peer", "life", records, timer, timer::nowMs, KeySettings(), log) { null }
         private val feed = PlannerFeed(authority, records, timer)
         val client = RelayClient(LoopbackClient(relayHandler(DirectAccess(peerStore, peerStore, timer), KeyLoads(timer), NoOrders, feed)))
-        val access = RelayedAccess(DirectAccess(ownStore, ownStore, timer), client, { listOf(peer) }, timer, log)
+        val access = RelayedAccess(DirectAccess(ownStore, ownStore, timer), client, { listOf(peer, otherPeer) }, timer, log)
         val change = listOf(KeyedChange("k", "v".toByteArray()), KeyedChange("gone", null))
     }
 
@@ -84,6 +85,20 @@
         ).isEqualTo(2)
     }
 
+    /** Guards against an append that one router may have carried out and that is sent through another one as well. */
+    @Test
+    fun `an append through another router without an answer is not sent through a third one`() = runTest {
+        val world = World(VirtualTimer(testScheduler))
+        world.ownStore.isCut = true
+        world.peerStore.losesAnswers = true
+        expectThat(world.access.append(KeyedStream.ROUTERS, world.change, null)).isA<KeyedAppendResult.Unknown>()
+        expectThat(
+            world.data.records
+                .getValue(KeyedStream.ROUTERS)
+                .size,
+        ).isEqualTo(world.change.size)
+    }
+
     /** Guards against a read that waits for its full time at a store that has fallen silent. */
     @Test
     fun `a waiting read ends when another call fails`() = runTest {
