Pass the probes of a load plan on to the callers stand-in

The 3 s in which a stopping router still serves had no effect.

Trace of one run (load average 17 to 20): 25 requests cut, the first 3.4 s after SIGTERM, when the router had closed its listening socket; each within milliseconds of a refused connection at the relay of that router (27 refusals). None was cut on a connection that the router had accepted: the drain of the server, bytes lost in the relay's Forwarder, and connections reused after "Connection: close" are ruled out for this run.

--- a/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/CallerLoad.kt
+++ b/yuccaflow-bench/src/main/kotlin/yuccaflow/bench/CallerLoad.kt
@@ -46,7 +46,29 @@
     val prefix: String = "c",
     val deadlineMs: Long = 3_000,
     val optimize: Boolean = false,
-)
+) {
+    /** Arguments of the callers stand-in, which serves its switches at [control] and reads the request kinds from the file [mixPath]. */
+    fun arguments(control: SocketAddress, mixPath: String): List<String> =
+        listOf(
+            "callers",
+            "--control",
+            "$control",
+            "--entries",
+            entries.joinToString(","),
+            "--probes",
+            probes.joinToString(","),
+            "--mix",
+            mixPath,
+            "--rate",
+            "$rate",
+            "--seed",
+            "$seed",
+            "--prefix",
+            prefix,
+            "--deadline-ms",
+            "$deadlineMs",
+        )
+}
 
 /** A running callers process. */
 internal class CallerLoad private constructor(
@@ -88,25 +110,8 @@
         suspend fun start(group: ProcessGroup, ports: Ports, plan: LoadPlan): CallerLoad {
             val control = ports.take()
             val mix = group.file("mix-${plan.prefix}.json", BenchJson.encodeToString(plan.mix))
-            val arguments = listOf(
-                "callers",
-                "--control",
-                "$control",
-                "--entries",
-                plan.entries.joinToString(","),
-                "--mix",
-                mix.path,
-                "--rate",
-                "${plan.rate}",
-                "--seed",
-                "${plan.seed}",
-                "--prefix",
-                plan.prefix,
-                "--deadline-ms",
-                "${plan.deadlineMs}",
-            )
             val jvm = JvmOptions(heapMb = 384, optimize = plan.optimize, processors = 3)
-            val process = group.start("callers-${plan.prefix}", Program.STANDIN, arguments, jvm)
+            val process = group.start("callers-${plan.prefix}", Program.STANDIN, plan.arguments(control, mix.path), jvm)
             val load = CallerLoad(process, control)
             load.onSecond { load.seconds += it }
             process.awaitReady()
