Refuse connections at the relay stand-in while nobody listens behind it

The relay accepted a connection before it knew whether the address behind it did, and closed it when that was refused. A request that the caller wrote in between counted as cut, although no router had ever seen it: in a traced planned stop 25 of 27 refusals became cut requests, the other 2 were reported as not sent. No network does this; a caller of a router that does not listen is refused and can go elsewhere.

The route now stops listening when its address refuses, and listens again once that is reachable. Only the connection that finds out first is still accepted and closed.

--- a/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/RelayStandin.kt
+++ b/yuccaflow-standins/src/main/kotlin/yuccaflow/standins/RelayStandin.kt
@@ -3,10 +3,13 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
@@ -21,6 +24,7 @@
 import yuccaflow.http.HttpRequest
 import yuccaflow.http.HttpResponse
 import yuccaflow.http.SocketAddress
+import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 
 /** Faults of one route. */
@@ -52,7 +56,7 @@
     private val routes = specs.associate { it.name to Route(it, loops) }
 
     fun start() {
-        routes.values.forEach { it.listen() }
+        routes.values.forEach { it.start() }
     }
 
     /** `POST /switches` takes `{"routes": [names], ...}`; without `routes` it applies to all. */
@@ -75,16 +79,33 @@
 
 private const val RELAY_THREADS = 2
 
+/** Time between attempts to reach an address that refused a connection; short against the timeouts of routers and callers. */
+private const val REFUSED_POLL_MS = 20L
+
+/**
+ * Forwards the connections of one address. While the address behind it refuses connections, the route does not listen, so that callers
+ * are refused too. The operating system would otherwise accept their connections, and a request that was sent on one before it is closed
+ * would look cut although it never left.
+ */
 private class Route(
     val spec: RouteSpec,
     private val loops: MultiThreadIoEventLoopGroup,
 ) {
     val switches = Switches(RouteSwitches(delayUs = spec.delayUs), RouteSwitches.serializer())
     val open = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private val to: SocketAddress = addressOf(spec.to)
+
+    @Volatile
+    private var listener: Channel? = null
+
+    /** Starts listening, and fails when the address is in use. */
+    fun start() {
+        listener = listen().sync().channel()
+    }
 
-    fun listen() {
+    private fun listen(): ChannelFuture {
         val address = addressOf(spec.listen)
-        ServerBootstrap()
+        return ServerBootstrap()
             .group(loops)
             .channel(NioServerSocketChannel::class.java)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -93,7 +114,6 @@
                 override fun initChannel(ch: Channel) = accept(ch)
             })
             .bind(address.host, address.port)
-            .sync()
     }
 
     private fun accept(inbound: Channel) {
@@ -102,7 +122,6 @@
             return
         }
         open.add(inbound)
-        val to: SocketAddress = addressOf(spec.to)
         Bootstrap()
             .group(inbound.eventLoop())
             .channel(NioSocketChannel::class.java)
@@ -110,13 +129,51 @@
             .handler(Forwarder(inbound, switches))
             .connect(to.host, to.port)
             .addListener { connected ->
-                if (!connected.isSuccess) inbound.close()
+                when {
+                    connected.isSuccess -> Unit
+                    isRefusal(connected.cause()) -> stopListening { inbound.close() }
+                    else -> inbound.close()
+                }
             }.let { connecting ->
                 inbound.pipeline().addLast(Forwarder(connecting.channel(), switches))
                 connecting.addListener { if (it.isSuccess) inbound.config().isAutoRead = true }
                 open.add(connecting.channel())
             }
     }
+
+    private fun isRefusal(cause: Throwable): Boolean = cause is ConnectException && cause !is ConnectTimeoutException
+
+    /** Refuses connections until the address behind the route accepts them again. Calls [stopped] when the first one would be refused. */
+    private fun stopListening(stopped: () -> Unit) {
+        val closing = synchronized(this) { listener.also { listener = null } }
+        if (closing == null) return stopped()
+        closing.close().addListener {
+            stopped()
+            listenOnceReachable()
+        }
+    }
+
+    private fun listenOnceReachable() {
+        Bootstrap()
+            .group(loops)
+            .channel(NioSocketChannel::class.java)
+            .handler(ChannelInboundHandlerAdapter())
+            .connect(to.host, to.port)
+            .addListener(
+                ChannelFutureListener { connected ->
+                    connected.channel().close()
+                    if (connected.isSuccess) listenAgain() else retryLater()
+                },
+            )
+    }
+
+    private fun listenAgain() {
+        listen().addListener(ChannelFutureListener { bound -> if (bound.isSuccess) listener = bound.channel() else retryLater() })
+    }
+
+    private fun retryLater() {
+        loops.schedule(::listenOnceReachable, REFUSED_POLL_MS, TimeUnit.MILLISECONDS)
+    }
 }
 
 /** Writes what it reads to [other] after the delay of the route. Both channels share an event loop, so the order holds. */
--- a/yuccaflow-standins/src/test/kotlin/yuccaflow/standins/RelayStandinTest.kt
+++ b/yuccaflow-standins/src/test/kotlin/yuccaflow/standins/RelayStandinTest.kt
@@ -1,10 +1,13 @@
 package yuccaflow.standins
 
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isTrue
 import yuccaflow.http.HttpClientSettings
 import yuccaflow.http.HttpHandler
 import yuccaflow.http.HttpRequest
@@ -39,6 +42,23 @@
         server.close(0)
     }
 
+    /** Guards against a relay that accepts connections in place of a stopped router, so that requests look cut that callers could repeat. */
+    @Test
+    fun `refuses connections while nobody listens behind it`(): Unit = runBlocking {
+        val behind = SocketAddress(LOOPBACK, freePort())
+        val relay = RelayStandin(listOf(RouteSpec("r", "$entry", "$behind")))
+        relay.start()
+        // The relay learns from the first connection that nobody listens.
+        send(ANSWER_TIMEOUT_MS)
+        repeat(REFUSALS) { expectThat(send(ANSWER_TIMEOUT_MS)).isA<HttpResult.NotSent>().get { isRefused }.isTrue() }
+        val server = httpServer(behind, StandinLimits, HttpHandler { HttpResponse(OK) })
+        withTimeout(ANSWER_TIMEOUT_MS) {
+            while (send(ANSWER_TIMEOUT_MS) !is HttpResult.Answered) delay(POLL_MS)
+        }
+        relay.close()
+        server.close(0)
+    }
+
     private suspend fun send(timeoutMs: Long) = client.send(entry, HttpRequest("GET", "/"), timeoutMs)
 
     private suspend fun switch(relay: RelayStandin, json: String) =
@@ -53,6 +73,8 @@
 
         /** How long the test listens for an answer that must not come. */
         const val SILENCE_MS = 300L
+        const val POLL_MS = 10L
+        const val REFUSALS = 50
 
         fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
     }
