Show the state in the platform's store with yuccactl

Operators could see desired state, targets, holders of key ranges and the planner only in routers' logs: yuccactl read the product's own log service alone.

The reader (StateReader) lies beside the router's code in yuccaflow-entry, because the records' types are internal there; the adapter provides it as a service, so that no wire name leaves platform/ and no source file of the command line names the adapter. Ruled out: a main of its own in platform/, which would bring the command line into the router's jar.

The store keeps no times: the age of an ownership is told in records of the routers' stream. A time would need a field in the assignment, that is a change of the router.

--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Command.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Command.kt
@@ -50,6 +50,7 @@
 internal data class Options(
     val log: SocketAddress?,
     val router: SocketAddress?,
+    val store: SocketAddress?,
     val timeoutMs: Long,
     val json: Boolean,
 )
--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/CommandLine.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/CommandLine.kt
@@ -23,7 +23,7 @@
 
 private const val EXIT_STATUSES = """
 Exit statuses: 0 done; 1 rejected; 2 the command line or the file is not valid; 3 the outcome is unknown or the time limit passed;
-4 the log service or the routers cannot be reached, and nothing was published.
+4 the log service, the store or the routers cannot be reached, and nothing was published.
 """
 
 /** Thrown in place of the library's end of the process. */
@@ -41,6 +41,12 @@
         "r",
         "Admin address of one router as IP:PORT, to ask it alone and without the log service",
     )
+    private val store by parser.option(
+        ArgType.String,
+        "store",
+        "s",
+        "Address of a platform's store as IP:PORT, for status, owners, targets and notes in place of --log",
+    )
     private val timeout by parser
         .option(
             ArgType.Int,
@@ -59,10 +65,10 @@
             FileCommand("publish", "Publish a release note and wait until it is in force on every live router", Command::Publish),
             MarkCommand("leave", "Mark a zone or host as leaving: it gets no new work", leaving = true),
             MarkCommand("return", "Mark a zone or host as returned", leaving = false),
-            PlainCommand("status", "Show the live routers", Command.Status),
+            PlainCommand("status", "Show the routers", Command.Status),
             PlainCommand("owners", "Show which target owns each key range", Command.Owners),
             PlainCommand("targets", "Show the targets with their primaries and load", Command.Targets),
-            PlainCommand("notes", "Show the published notes and marks with their outcomes", Command.Notes),
+            PlainCommand("notes", "Show what is in force: the published notes and marks, or the store's routing table", Command.Notes),
             TraceCommand(),
             ExplainCommand(),
         )
@@ -80,15 +86,31 @@
     private fun options(command: Command): Invocation {
         val logAddress = log?.let { SocketAddress.parseOrNull(it) ?: return mistake("--log: expected IP:PORT, found '$it'") }
         val routerAddress = router?.let { SocketAddress.parseOrNull(it) ?: return mistake("--router: expected IP:PORT, found '$it'") }
+        val storeAddress = store?.let { SocketAddress.parseOrNull(it) ?: return mistake("--store: expected IP:PORT, found '$it'") }
         if (timeout !in 1..MAX_TIMEOUT_S) return mistake("--timeout: expected seconds from 1 to $MAX_TIMEOUT_S, found $timeout")
-        when (command) {
-            is Command.Check, is Command.Explain -> Unit
-            is Command.Publish, is Command.Mark, Command.Notes ->
-                if (logAddress == null) return mistake("expected --log IP:PORT with the address of the log service")
-            else ->
-                if (logAddress == null && routerAddress == null) return mistake("expected --log IP:PORT or --router IP:PORT")
-        }
-        return Invocation.Run(command, Options(logAddress, routerAddress, timeout * MS_PER_S, json))
+        val options = Options(logAddress, routerAddress, storeAddress, timeout * MS_PER_S, json)
+        sourceMistake(command, options)?.let { return mistake(it) }
+        return Invocation.Run(command, options)
+    }
+
+    /** Returns what is wrong with the addresses that [command] is to read from or write to, or null. */
+    private fun sourceMistake(command: Command, options: Options): String? = when {
+        command is Command.Check || command is Command.Explain -> null
+        options.store != null -> storeMistake(command, options)
+        options.log != null -> null
+        command is Command.Publish || command is Command.Mark -> "expected --log IP:PORT with the address of the log service"
+        command is Command.Notes -> "expected --log IP:PORT or --store IP:PORT"
+        options.router != null -> null
+        command is Command.Trace -> "expected --log IP:PORT or --router IP:PORT"
+        else -> "expected --log IP:PORT, --router IP:PORT or --store IP:PORT"
+    }
+
+    private fun storeMistake(command: Command, options: Options): String? = when {
+        command is Command.Publish || command is Command.Mark ->
+            "--store: expected a command that only reads; the platform's own tools write to its store"
+        command is Command.Trace -> "--store: it holds no traces; explain reads the logs of routers"
+        options.log != null || options.router != null -> "--store: expected neither --log nor --router beside it"
+        else -> null
     }
 
     private fun mistake(text: String) = Invocation.Show("$PROGRAM: $text. See $PROGRAM --help.", ExitStatus.USAGE)
--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ReportCommands.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ReportCommands.kt
@@ -40,13 +40,13 @@
     val outcomes: List<NoteOutcome>,
 )
 
-/** The commands that show the state of the system. */
+/** The commands that show the state of a system on the product's own log, and the hops of a request. */
 internal class ReportCommands(
     private val reader: StreamReader?,
     private val queries: RouterQueries,
     private val router: SocketAddress?,
     private val console: Console,
-) {
+) : StateCommands {
     private class KnownRouter(
         val id: String,
         val zone: String,
@@ -55,7 +55,7 @@
     )
 
     /** Shows each live router, or the one asked for. */
-    suspend fun status(): ExitStatus {
+    override suspend fun status(): ExitStatus {
         val statuses = askAll("/status", StatusReport.serializer()).map { (router, answer) ->
             when (answer) {
                 is RouterAnswer.Answered ->
@@ -71,8 +71,7 @@
         return ExitStatus.UNREACHABLE
     }
 
-    /** Shows the owners of all ranges. */
-    suspend fun owners(): ExitStatus = first("/owners", OwnersReport.serializer()) { report ->
+    override suspend fun owners(): ExitStatus = first("/owners", OwnersReport.serializer()) { report ->
         val rows = report.ranges.map {
             val move = if (it.moving) "to ${it.movingTo ?: "nobody"}" else null
             listOf(it.service.value, quoted(it.from), it.to?.let(::quoted) ?: "unbounded", it.owner.value, cell(it.epoch), cell(move))
@@ -80,8 +79,7 @@
         table(listOf("SERVICE", "FROM", "TO", "OWNER", "EPOCH", "MOVE"), rows)
     }
 
-    /** Shows the targets in force. */
-    suspend fun targets(): ExitStatus = first("/targets", TargetsReport.serializer()) { report ->
+    override suspend fun targets(): ExitStatus = first("/targets", TargetsReport.serializer()) { report ->
         val rows = report.targets.map {
             val state = when {
                 !it.inService -> "leaving"
@@ -95,8 +93,7 @@
         table(listOf("TARGET", "SERVICE", "ZONE", "ADDRESS", "PRIMARY", "STATE", "CAPACITY", "RUNNING", "QUEUED", "PER SECOND"), rows)
     }
 
-    /** Shows the published notes and marks. */
-    suspend fun notes(): ExitStatus {
+    override suspend fun notes(): ExitStatus {
         val reader = checkNotNull(reader)
         reader.readConfig()
         val config = reader.config
--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Yuccactl.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Yuccactl.kt
@@ -1,17 +1,19 @@
 package yuccaflow.cli
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.view.StateReader
 import yuccaflow.external.LogService
 import yuccaflow.http.HttpClient
 import yuccaflow.http.SocketAddress
 import java.io.PrintStream
 
-/** The command-line tool. [logAt] gives the log service at an address. */
+/** The command-line tool. [storeAt] gives the reader of the platform's store at an address, and [logAt] the log service. */
 internal class Yuccactl(
     private val out: PrintStream,
     private val err: PrintStream,
     private val client: HttpClient,
     private val timer: TimerService,
+    private val storeAt: (SocketAddress) -> StateReader = ::platformStore,
     private val logAt: (SocketAddress) -> LogService,
 ) {
     /** Runs the command line and returns the status to exit with. */
@@ -32,15 +34,16 @@
             nowMs = timer::nowMs,
         )
         val reports = ReportCommands(reader, queries, options.router, console)
+        val state = options.store?.let { StoreCommands(storeAt(it), it, console) } ?: reports
         return try {
             when (command) {
                 is Command.Check -> publishing.check(command.file)
                 is Command.Publish -> publishing.publish(command.file, options.timeoutMs)
                 is Command.Mark -> publishing.mark(command, options.timeoutMs)
-                Command.Status -> reports.status()
-                Command.Owners -> reports.owners()
-                Command.Targets -> reports.targets()
-                Command.Notes -> reports.notes()
+                Command.Status -> state.status()
+                Command.Owners -> state.owners()
+                Command.Targets -> state.targets()
+                Command.Notes -> state.notes()
                 is Command.Explain -> explain(command.requestId, command.files, console)
                 is Command.Trace -> reports.trace(command.requestId)
             }
--- /dev/null
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/view/RouterStream.kt
@@ -0,0 +1,82 @@
+package yuccaflow.entry.view
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.Member
+import yuccaflow.entry.keys.PlannerTerm
+import yuccaflow.entry.store.KeyedRecord
+
+/** The routers' own stream as far as it was read: planner, members and assignments of key ranges. */
+internal class RouterStream(
+    private val endOffset: Long,
+    private val planner: PlannerTerm?,
+    private val members: List<Member>,
+    private val assignments: List<Assignment>,
+    private val rejected: List<RejectedRecord>,
+) {
+    /** The report of the key ranges. */
+    fun rangeList() = RangeList(endOffset, assignments.sortedWith(compareBy({ it.service }, { it.from })).map(::listed), rejected)
+
+    /** The report of the routers. [candidates] are the members that the group names, or null when they are not known. */
+    fun routerList(candidates: Set<String>?) = RouterList(
+        planner = planner?.takeUnless { it.isVacant }?.let { ListedPlanner(it.node, it.life, it.term) },
+        candidates = candidates?.sorted(),
+        routers = members.sortedWith(compareBy({ it.zone }, { it.node })).map { ListedRouter(it.node, it.zone, it.relay) },
+        rejected = rejected,
+    )
+
+    private fun listed(assignment: Assignment) = ListedRange(
+        service = assignment.service,
+        from = assignment.from,
+        to = assignment.to,
+        holder = assignment.holder.target,
+        zone = assignment.holder.zone,
+        address = assignment.holder.address,
+        holderBornMs = assignment.holder.bornMs,
+        generation = assignment.generation,
+        // The generation is one more than the offset of the record that set it.
+        ageRecords = (endOffset - assignment.generation).coerceAtLeast(0),
+        isMoving = assignment.isMoving,
+        formers = assignment.formers.map { ListedFormerHolder(it.holder.target, it.generation) },
+    )
+}
+
+/** Decodes the records that the routers' `RouterRecords` writes. */
+internal fun routerStreamOf(newest: NewestRecords): RouterStream = RouterStreamDecoder().decode(newest)
+
+private class RouterStreamDecoder {
+    private var planner: PlannerTerm? = null
+    private val members = ArrayList<Member>()
+    private val assignments = ArrayList<Assignment>()
+    private val rejected = ArrayList<RejectedRecord>()
+
+    fun decode(newest: NewestRecords): RouterStream {
+        newest.records.forEach(::take)
+        return RouterStream(newest.endOffset, planner, members, assignments, rejected)
+    }
+
+    private fun take(record: KeyedRecord) {
+        when (record.key.substringBefore('/')) {
+            "planner" -> decode(record, PlannerTerm.serializer())?.let { planner = it }
+            "member" -> decode(record, Member.serializer())?.let(members::add)
+            "range" -> decode(record, Assignment.serializer())?.let(assignments::add)
+            else -> rejected += rejectedRecord(record, "the key is of no known kind")
+        }
+    }
+
+    private fun <T> decode(record: KeyedRecord, shape: KSerializer<T>): T? {
+        val value = record.value ?: return null
+        return try {
+            JSON.decodeFromString(shape, value.decodeToString())
+        } catch (invalid: SerializationException) {
+            rejected += rejectedRecord(record, invalid.message.orEmpty())
+            null
+        }
+    }
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/view/NewestRecordsTest.kt
@@ -0,0 +1,69 @@
+package yuccaflow.entry.view
+
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import yuccaflow.entry.store.FeedResult
+import yuccaflow.entry.store.KeyedAppendResult
+import yuccaflow.entry.store.KeyedChange
+import yuccaflow.entry.store.KeyedRecord
+import yuccaflow.entry.store.KeyedStore
+import yuccaflow.entry.store.KeyedStream
+import yuccaflow.entry.store.SnapshotResult
+
+private fun record(key: String, value: String?, offset: Long) = KeyedRecord(key, value?.toByteArray(), offset)
+
+/** Gives [snapshot], and then [feeds] in their order. */
+private class ScriptedStore(
+    private val snapshot: () -> SnapshotResult,
+    vararg feeds: FeedResult,
+) : KeyedStore {
+    private val left = ArrayDeque(feeds.toList())
+    val readFrom = ArrayList<Long>()
+
+    override suspend fun snapshot(stream: KeyedStream): SnapshotResult = snapshot.invoke()
+
+    override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): FeedResult {
+        readFrom += fromOffset
+        return left.removeFirst()
+    }
+
+    override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?): KeyedAppendResult =
+        error("a reader must append nothing")
+}
+
+@DisplayName("Reading the newest records")
+class NewestRecordsTest {
+    private val mixedPages = SnapshotResult.Snapshot(listOf(record("a", "old", 1), record("c", "kept", 3)), 4)
+
+    /** Guards against pages of different moments, by which a range is listed twice or not at all. */
+    @Test
+    fun `brings the pages up to one moment`() = runTest {
+        val changes = listOf(record("a", null, 4), record("b", "new", 5))
+        val store = ScriptedStore({ mixedPages }, FeedResult.Read(changes, 7), FeedResult.Read(listOf(record("b", "newer", 6)), 7))
+        val newest = (store.readNewest(KeyedStream.ROUTERS) as StateResult.Known).state
+        expectThat(newest.records.map { "${it.key}=${it.value?.decodeToString()}" }).containsExactly("b=newer", "c=kept")
+        expectThat(newest.endOffset).isEqualTo(7)
+        expectThat(store.readFrom).containsExactly(4L, 6L)
+    }
+
+    /** Guards against half of a state that is shown as the whole. */
+    @Test
+    fun `fails when what was appended meanwhile cannot be read`() = runTest {
+        for (feed in listOf(FeedResult.Expired, FeedResult.Failed("status 503"))) {
+            expectThat(ScriptedStore({ mixedPages }, feed).readNewest(KeyedStream.ROUTERS)).isA<StateResult.Unreadable>()
+        }
+    }
+
+    /** Guards against a stack trace in place of an error when the store gives values that are not encoded as agreed. */
+    @Test
+    fun `fails on values that cannot be decoded`() = runTest {
+        val store = ScriptedStore({ throw IllegalArgumentException("Illegal base64 character") })
+        expectThat(store.readNewest(KeyedStream.ROUTERS))
+            .isEqualTo(StateResult.Unreadable("a value cannot be decoded: Illegal base64 character"))
+    }
+}
