--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ExplainCommand.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/ExplainCommand.kt
@@ -1,24 +1,29 @@
 package yuccaflow.cli
 
 import java.io.IOException
-import java.nio.charset.MalformedInputException
 import java.nio.file.Files
 import java.nio.file.Path
 
 /** Explains a request from routers' logs in [files], or on standard input when there are none. */
 internal fun explain(requestId: String, files: List<String>, console: Console): ExitStatus {
     val lines = try {
-        if (files.isEmpty()) generateSequence(::readLine).toList() else files.flatMap { Files.readAllLines(Path.of(it)) }
-    } catch (failure: MalformedInputException) {
-        console.error("expected log files in UTF-8: $failure")
-        return ExitStatus.USAGE
+        if (files.isEmpty()) linesOf(System.`in`.readAllBytes()) else files.flatMap { linesOf(Files.readAllBytes(Path.of(it))) }
     } catch (failure: IOException) {
         console.error("cannot read the log files: $failure")
         return ExitStatus.USAGE
     }
-    val explanation = LogExplainer(lines.asSequence()).explain(requestId)
+    val explainer = LogExplainer(lines.asSequence())
+    if (explainer.eventCount == 0) {
+        console.error("none of the ${lines.size} lines is an event of a router. Give the standard output of routers.")
+        return ExitStatus.USAGE
+    }
+    val explanation = explainer.explain(requestId)
     if (explanation == null) {
-        console.error("no line of the logs names request $requestId. It was served at the first target, or its lines were dropped.")
+        console.error(
+            "no line of the logs names request $requestId. It was served at the first target and not sampled, " +
+                "its router's log is missing, " +
+                "or it is among the ${explainer.droppedRequestLines} lines about requests that routers left out.",
+        )
         return ExitStatus.UNKNOWN
     }
     console.result(Explanation.serializer(), explanation) { found ->
@@ -27,3 +32,6 @@
     }
     return ExitStatus.DONE
 }
+
+/** The lines of a log. Bytes that are not UTF-8, as in a line that was cut off, are replaced and spoil only their own line. */
+private fun linesOf(log: ByteArray): List<String> = log.decodeToString().lines().dropLastWhile { it.isEmpty() }
