--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -60,6 +60,9 @@
     /** Whether the view is cut right after the next append was carried out. */
     var isCutByAppend = false
 
+    /** How long an append is on its way to the store. */
+    var appendOnWayMs = callMs
+
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult {
         delay(callMs)
         if (!isServed()) return SnapshotResult.Failed("cut")
@@ -82,7 +85,7 @@
     }
 
     override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?): KeyedAppendResult {
-        delay(callMs)
+        delay(appendOnWayMs)
         if (!isServed()) return KeyedAppendResult.NotAppended("cut")
         val end = data.records
             .getValue(stream)
