--- a/yuccaflow-bench/src/test/kotlin/yuccaflow/bench/RouterFaultsTest.kt
+++ b/yuccaflow-bench/src/test/kotlin/yuccaflow/bench/RouterFaultsTest.kt
@@ -22,7 +22,10 @@
     /** Guards against keys without service after the loss of a primary, and against takeover before its lease has ended. */
     @Tag("known-red")
     @Test
-    fun `a killed router is replaced within 3 s and nothing is lost or doubled`() = underLoad(seed = 11, rate = OUTAGE_RATE) { cluster, load ->
+    fun `a killed router is replaced within 3 s and nothing is lost or doubled`() = underLoad(
+        seed = 11,
+        rate = OUTAGE_RATE,
+    ) { cluster, load ->
         cluster.routers[0].process.kill()
         delay(OBSERVE_MS)
         val longest = load.outages().values.maxOfOrNull { it.longestMs } ?: 0
