Wait out the grant of a leaving target that refuses connections

Cause: the planner took a refused connection for the end of the process. A target that leaves closes its port first and then finishes its running requests.

Ruled out: a second planner (one throughout), a late grant (no grant of the former generation after the release), a stale answer.

Change: a refused connection counts as the end of the process only while the target's entry is present and not draining. Otherwise the grant is waited out.

Tests: two new ones in RangeGrantManagerTest failed before the change and pass now; a third keeps the quick takeover after a crash.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -7,6 +7,7 @@
  * owner, and how long keys are served while no router can renew grants.
  * @property renewIntervalMs time between renewals of a grant.
  * @property retryDelayMs delay before a failed call to a target is repeated, and between checks whether calls are allowed again.
+ * @property refusedRetryDelayMs longest delay before a release is repeated at a leaving target that refuses connections.
  * @property grantTimeoutMs how long a grant may be in transit before it is abandoned.
  * @property authorityMs how long the planner may act after the start of a read that showed no other planner. It bounds how long grants are
  * renewed while the store is down, and how long a successor waits before it moves keys.
@@ -25,6 +26,7 @@
     val grantDurationMs: Long = 5_000,
     val renewIntervalMs: Long = 800,
     val retryDelayMs: Long = 150,
+    val refusedRetryDelayMs: Long = 1_000,
     val grantTimeoutMs: Long = 400,
     val releaseTimeoutMs: Long = 1_200,
     val authorityMs: Long = 5_000,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -104,11 +104,18 @@
                     logRelease(former, assignment, "released")
                     return result.handover
                 }
-                is KeyGrantResult.OtherTarget, is KeyGrantResult.ConnectionRefused -> {
-                    logRelease(former, assignment, result.toString())
-                    lostHolders[former.holder] = timer.nowMs()
+                is KeyGrantResult.OtherTarget -> {
+                    recordLost(former, assignment, result)
                     return null
                 }
+                is KeyGrantResult.ConnectionRefused -> {
+                    if (!mayBeLeaving(former.holder)) {
+                        recordLost(former, assignment, result)
+                        return null
+                    }
+                    logFailure("release", former.holder, assignment, result)
+                    timer.sleep((grantEndsAtMs(former) - timer.nowMs()).coerceIn(settings.retryDelayMs, settings.refusedRetryDelayMs))
+                }
                 else -> {
                     logFailure("release", former.holder, assignment, result)
                     timer.sleep(settings.retryDelayMs)
@@ -117,6 +124,20 @@
         }
     }
 
+    /**
+     * Returns whether [holder] may be shutting down. A target that leaves can close its port while it still runs requests, so a refused
+     * connection to it does not mean that its process has ended. Some targets only remove their entry and never report that they leave.
+     */
+    private fun mayBeLeaving(holder: TargetIncarnation): Boolean {
+        val state = directory.find(holder.target) ?: return true
+        return state.entry.isDraining || state.entryRemovedAtMs != null
+    }
+
+    private fun recordLost(former: FormerHolder, assignment: Assignment, result: KeyGrantResult) {
+        logRelease(former, assignment, result.toString())
+        lostHolders[former.holder] = timer.nowMs()
+    }
+
     /**
      * Releases keys by a direct call or, if that fails, through a router in the zone of the target. Returns
      * [KeyGrantResult.ConnectionRefused] only if the connection was refused within the target's zone.
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeRecords.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeRecords.kt
@@ -10,6 +10,7 @@
 import yuccaflow.entry.directory.TargetEntry
 import yuccaflow.entry.directory.TargetRecord
 import yuccaflow.entry.store.KeyedChange
+import yuccaflow.entry.store.KeyedRecord
 import yuccaflow.http.SocketAddress
 
 internal const val KEYED_SERVICE = "keyed"
@@ -50,6 +51,8 @@
         return KeyedChange(entry.id, text.toByteArray())
     }
 
+    fun targetRecord(entry: TargetEntry, offset: Long): KeyedRecord = targetChange(entry).let { KeyedRecord(it.key, it.value, offset) }
+
     fun entry(id: String, number: Int, zone: String = "a", bornMs: Long = 1, service: String = KEYED_SERVICE) =
         TargetEntry(id, service, SocketAddress("10.0.0.$number", 80), zone, 4, false, 0, bornMs)
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
@@ -22,6 +22,7 @@
 import yuccaflow.entry.fake.KEYED_SERVICE
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.store.KeyedRecord
 
 @DisplayName("The grant manager of key ranges")
 class RangeGrantManagerTest {
@@ -117,6 +118,52 @@
         expectGrantedElsewhereAfterExpiry()
     }
 
+    @Nested
+    @DisplayName("when a former holder refuses connections")
+    inner class RefusedConnection {
+        private val holderEntry = FakeRecords.entry("t0", 1)
+
+        private fun expectGrantedElsewhereOnlyAfterExpiry() {
+            val first = assignment(0, 5)
+            grantManager.reconcile(scope, listOf(first))
+            advance(100)
+            answer = KeyGrantResult.ConnectionRefused("closed")
+            grantManager.reconcile(scope, listOf(movedFrom(first, 1, 9)))
+            advance(20_000)
+            val lastGrantedAtMs = sentCalls.filter { it.target == "t0" && it.operation == "grant" }.maxOf { it.startedAtMs }
+            val granted = sentCalls.first { it.target == "t1" }
+            expectThat(granted.startedAtMs).isGreaterThanOrEqualTo(lastGrantedAtMs + settings.grantDurationMs)
+        }
+
+        /** Guards against a new holder while a draining target, which has closed its port, still runs requests for the keys. */
+        @Test
+        fun `waits until the grant of a draining target has expired`() {
+            directory.onRecords(listOf(FakeRecords.targetRecord(holderEntry.copy(isDraining = true), 1)), 2)
+            expectGrantedElsewhereOnlyAfterExpiry()
+        }
+
+        /** Guards against a new holder while a target that removed its entry without draining still runs requests for the keys. */
+        @Test
+        fun `waits until the grant of a target without an entry has expired`() {
+            directory.onRecords(listOf(FakeRecords.targetRecord(holderEntry, 1)), 2)
+            directory.onRecords(listOf(KeyedRecord("t0", null, 2)), 3)
+            expectGrantedElsewhereOnlyAfterExpiry()
+        }
+
+        /** Guards against keys that stay without an owner for the duration of a grant after their target has crashed. */
+        @Test
+        fun `takes the keys at once from a target that is not leaving`() {
+            directory.onRecords(listOf(FakeRecords.targetRecord(holderEntry, 1)), 2)
+            val first = assignment(0, 5)
+            grantManager.reconcile(scope, listOf(first))
+            advance(100)
+            answer = KeyGrantResult.ConnectionRefused("closed")
+            grantManager.reconcile(scope, listOf(movedFrom(first, 1, 9)))
+            advance(settings.releaseTimeoutMs + 100)
+            expectThat(sentCalls.filter { it.target == "t1" }).isNotEmpty()
+        }
+    }
+
     /** Guards against a new holder while the former one has a valid grant that arrived after its timeout because of a busy event loop. */
     @Test
     fun `measures a grant from when an unanswered grant call was actually abandoned`() {
