--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -173,7 +173,8 @@
         val response = HttpResponse(head.status().code(), head.headers().toHeaderList(), body)
         serverKeepAliveMs = keepAliveMs(head)
         // A server may respond before it has received the whole request. The unwritten rest of it must not precede the next request.
-        val reusable = isFramed && HttpUtil.isKeepAlive(head) && channel.isActive && isWritten && failedRequestIds.size < MAX_FAILED_REQUESTS
+        val reusable =
+            isFramed && HttpUtil.isKeepAlive(head) && channel.isActive && isWritten && failedRequestIds.size < MAX_FAILED_REQUESTS
         return ResponseRead.Complete(response, reusable)
     }
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
@@ -46,12 +46,12 @@
         return if (index < 0) null else idle.removeAt(index)
     }
 
-    /** Returns a connection that may be used for another request to the pool. */
+    /** Returns a connection that could be used for another request to the pool. */
     @Synchronized
     fun release(connection: ClientConnection) {
         connection.idleSinceNanos = System.nanoTime()
         connection.expectNoResponse()
-        if (closed || !connection.isUsable()) connection.close() else idle.addLast(connection)
+        if (closed || !settings.reusesConnections || !connection.isUsable()) connection.close() else idle.addLast(connection)
     }
 
     /** Opens a new connection. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -26,6 +26,8 @@
 data class HttpClientSettings(
     val connectTimeoutMs: Long = 500,
     val connectionsPerAddress: Int = 100,
+    /** Whether a connection is used for more than one request. If not, a response that a server repeats cannot reach a later request. */
+    val reusesConnections: Boolean = true,
     /** Connections that were idle for longer are closed instead of reused, because they may be dead. */
     val maxIdleMs: Long = 5_000,
     val bodyLimitBytes: Int = 1_048_576,
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -303,6 +303,15 @@
             expectThat(bodyOf(send())).isEqualTo("on 1")
         }
 
+        /** Guards against a repeated response without a request id that is taken for the answer to the next request. */
+        @Test
+        fun `but not when its settings say that connections are not reused`() {
+            val withoutReuse = httpClient(HttpClientSettings(connectTimeoutMs = 10_000, reusesConnections = false))
+            serve { socket, number -> while (socket.readRequest()) socket.answer("on $number") }
+            expectThat(bodyOf(runBlocking { withoutReuse.send(address, get, LONG_MS) })).isEqualTo("on 1")
+            expectThat(bodyOf(runBlocking { withoutReuse.send(address, get, LONG_MS) })).isEqualTo("on 2")
+        }
+
         @Test
         fun `but opens a new one when the server has closed the idle one`() {
             val closed = CountDownLatch(1)
