Keep the planner off small hosts and renew the grants of a target less often the more it has

Each renewed every range every 800 ms, with ten ranges and more at some targets.

Change: membership records carry the capacity of the host; routers below half of the largest stand for planner only after no planner has answered for 1.5 s.

Tests: PlannerCandidacyTest, RangeGrantManagerTest 'renews'.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -24,6 +24,7 @@
 import yuccaflow.entry.keys.KeyOwnershipSettings
 import yuccaflow.entry.keys.KeyPlanner
 import yuccaflow.entry.keys.PlannerAuthority
+import yuccaflow.entry.keys.PlannerCandidacy
 import yuccaflow.entry.keys.PlannerDependencies
 import yuccaflow.entry.keys.PlannerElection
 import yuccaflow.entry.keys.RouterMember
@@ -67,6 +68,7 @@
  * Settings of a [Gateway].
  *
  * @property node name of the host, which stays the same across restarts.
+ * @property capacityCores processing capacity of the host, in cores.
  * @property callerListen address for callers' requests.
  * @property relayListen address on which this router relays other routers' calls to the store.
  * @property seedRelays relay addresses of some other routers, used until their membership records have been read.
@@ -76,6 +78,7 @@
 data class GatewaySettings(
     val node: String,
     val zone: String,
+    val capacityCores: Double,
     val callerListen: SocketAddress,
     val readyListen: SocketAddress,
     val relayListen: SocketAddress,
@@ -131,6 +134,9 @@
         PlannerAuthority(settings.node, incarnationId, clusterState, timer, System::currentTimeMillis, keyOwnershipSettings, events) {
             clusterStateFollower.confirmedAtMs
         }
+    private val candidacy = PlannerCandidacy(settings.capacityCores, clusterState, timer, keyOwnershipSettings) {
+        clusterStateStore.plannerSilentSinceMs
+    }
     private val election =
         PlannerElection(settings.node, incarnationId, electionDependencies(), clusterState, timer, keyOwnershipSettings, events)
     private val keyLoadTracker = KeyLoadTracker(timer)
@@ -213,7 +219,7 @@
     /** Adds this router to the members. Limits that all routers share are divided by the number of members. */
     private suspend fun announceMember() {
         while (clusterState.endOffset == null) timer.sleep(ANNOUNCE_RETRY_MS)
-        val member = RouterMember(settings.node, settings.zone, settings.relayListen.toString())
+        val member = RouterMember(settings.node, settings.zone, settings.relayListen.toString(), settings.capacityCores)
         while (!clusterState.hasMember(member)) {
             val result = storeAccess.append(KeyedStream.ROUTERS, listOf(ClusterState.memberChange(member)), null)
             if (result is KeyedAppendResult.Appended) return
@@ -226,6 +232,7 @@
             storeAccess,
             storeAccess,
             RelayPlannerProbe(relayClient, clusterState::relayOf),
+            mayStand = candidacy::stands,
             onClaimed = clusterStateStore::bypassPlanner,
         )
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -35,12 +35,18 @@
     val isVacant: Boolean get() = node.isEmpty()
 }
 
-/** The membership record of a router. [relay] is the address at which the router forwards other routers' calls to the store. */
+/**
+ * The membership record of a router.
+ *
+ * @property relay the address at which the router forwards other routers' calls to the store.
+ * @property capacityCores processing capacity of the host, in cores, or 0 if the router did not report it.
+ */
 @Serializable
 internal data class RouterMember(
     val node: String,
     val zone: String,
     val relay: String,
+    val capacityCores: Double = 0.0,
 )
 
 /** The state read from the routers' stream: the planner, the member routers and the assignments of all key ranges. */
@@ -65,6 +71,9 @@
     /** The number of routers that have ever been members, including those that were removed for good, but at least 1. */
     val memberCount: Int get() = members.size.coerceAtLeast(1)
 
+    /** The processing capacity of the largest host of a router that has ever been a member, in cores. */
+    val maxCapacityCores: Double get() = members.values.maxOfOrNull { it.capacityCores } ?: 0.0
+
     /** The names of the routers that have ever been members. */
     val nodes: Set<String> get() = members.keys
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -5,7 +5,8 @@
  *
  * @property grantDurationMs how long a grant lasts without renewal. It bounds how long the keys of an unresponsive target stay without an
  * owner, and how long keys are served while no router can renew grants.
- * @property renewIntervalMs time between renewals of a grant.
+ * @property minRenewIntervalMs time between renewals of the only grant of a target. Each one also shows whether the target is running.
+ * @property maxRenewIntervalMs longest time between renewals of a grant. It leaves time for further attempts before the grant expires.
  * @property retryDelayMs delay before a failed call to a target is repeated, and between checks whether calls are allowed again.
  * @property refusedRetryDelayMs longest delay before a release is repeated at a leaving target that refuses connections.
  * @property grantTimeoutMs how long a grant may be in transit before it is abandoned.
@@ -15,6 +16,8 @@
  * @property memberTtlMs how long a router stays in the group without a heartbeat.
  * @property joinIntervalMs time between the heartbeats of a router to the group.
  * @property candidateStabilityMs how long a router must have been the candidate before it becomes the first planner.
+ * @property capacitiesKnownMs how long the routers wait for each other's membership records at the first start of the system.
+ * @property smallHostDelayMs how long routers on small hosts leave it to those on larger ones to replace a planner that does not answer.
  * @property planIntervalMs the longest time between two planning rounds.
  * @property minBalanceIntervalMs the shortest time between two moves that balance load.
  * @property confirmationBatchDelayMs delay after a target has confirmed a grant, so that one append can cover several confirmations.
@@ -24,7 +27,8 @@
  */
 internal data class KeyOwnershipSettings(
     val grantDurationMs: Long = 5_000,
-    val renewIntervalMs: Long = 800,
+    val minRenewIntervalMs: Long = 800,
+    val maxRenewIntervalMs: Long = 2_000,
     val retryDelayMs: Long = 150,
     val refusedRetryDelayMs: Long = 1_000,
     val grantTimeoutMs: Long = 400,
@@ -34,6 +38,8 @@
     val memberTtlMs: Long = 1_800,
     val joinIntervalMs: Long = 550,
     val candidateStabilityMs: Long = 500,
+    val capacitiesKnownMs: Long = 1_500,
+    val smallHostDelayMs: Long = 1_500,
     val planIntervalMs: Long = 200,
     val minBalanceIntervalMs: Long = 700,
     val confirmationBatchDelayMs: Long = 20,
@@ -41,6 +47,12 @@
     val clockDrift: Double = 0.02,
     val timingMarginMs: Long = 100,
 ) {
+    /**
+     * Returns the time between renewals of each grant of a target that has [rangeCount] grants. A target with many grants is called about as
+     * often as one with a single grant, so that the work of the planner grows with the targets and not with the ranges.
+     */
+    fun renewIntervalMs(rangeCount: Int): Long = (minRenewIntervalMs * rangeCount).coerceAtMost(maxRenewIntervalMs)
+
     /** How long a grant may last on a target with a slow clock, counted from its arrival there. */
     val maxGrantDurationMs: Long get() = (grantDurationMs * (1 + 2 * clockDrift)).toLong() + timingMarginMs
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -18,12 +18,14 @@
 /**
  * The collaborators of a [PlannerElection].
  *
+ * @property mayStand returns whether this router should be in the group from which the planner is chosen.
  * @property onClaimed called when this router has appended a planner record that names it.
  */
 internal class ElectionDependencies(
     val group: RouterGroup,
     val store: KeyedStore,
     val probe: PlannerProbe,
+    val mayStand: () -> Boolean = { true },
     val onClaimed: () -> Unit,
 )
 
@@ -61,9 +63,16 @@
     /** Returns when a former planner's last grant of [generation] expires, or [Long.MIN_VALUE] if the generation was set in this term. */
     fun formerGrantsEndAtMs(generation: Long): Long = if (generation > termStartOffset) Long.MIN_VALUE else formerGrantsEndAtMs
 
-    /** Maintains the group membership until cancelled or until this router resigns. */
+    /**
+     * Maintains the group membership until cancelled or until this router resigns. The planner stays a member, because the others take a
+     * missing one for a lost one.
+     */
     suspend fun maintainMembership() {
         while (!hasResigned) {
+            if (!isRecordedPlanner() && !dependencies.mayStand()) {
+                timer.sleep(settings.joinIntervalMs)
+                continue
+            }
             val startedAtMs = timer.nowMs()
             val result = dependencies.group.join(member, membership?.generation ?: 0, settings.memberTtlMs)
             when (result) {
@@ -81,7 +90,7 @@
     suspend fun resign(): Boolean {
         hasResigned = true
         var isReleased = true
-        val own = clusterState.planner?.takeIf { it.node == node && it.life == incarnation }
+        val own = clusterState.planner?.takeIf { isRecordedPlanner() }
         val end = clusterState.endOffset
         if (own != null && end != null) {
             val vacancy = PlannerTerm(node = "", life = "", term = own.term + 1, haveFormersEnded = timer.nowMs() >= movesAllowedAtMs)
@@ -113,6 +122,8 @@
         return nowMs - joinedAtMs <= settings.memberTtlMs && (!isFirst || nowMs - sinceMs >= settings.candidateStabilityMs)
     }
 
+    private fun isRecordedPlanner(): Boolean = clusterState.planner?.let { it.node == node && it.life == incarnation } ?: false
+
     private suspend fun isAlive(planner: PlannerTerm?): Boolean {
         if (planner == null || planner.isVacant) return false
         val members = dependencies.group.members() ?: return true
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -51,10 +51,12 @@
     private val lastRenewedAtMs = HashMap<Long, Long>()
     private val lostHolders = HashMap<TargetIncarnation, Long>()
     private val fenced = HashSet<Assignment>()
+    private var rangeCounts = emptyMap<TargetIncarnation, Int>()
 
     /** Starts and cancels tasks so that exactly one runs for each of [assignments]. */
     fun reconcile(scope: CoroutineScope, assignments: Collection<Assignment>) {
         val desired = assignments.toSet()
+        rangeCounts = desired.groupingBy { it.holder }.eachCount()
         val replaced = tasks.keys.filter { it !in desired }
         replaced.forEach { tasks.remove(it)?.cancel() }
         fenced.retainAll(desired)
@@ -171,7 +173,7 @@
         while (true) {
             val result = grant(assignment, null)
             if (result is KeyGrantResult.Done) {
-                timer.sleep(settings.renewIntervalMs)
+                timer.sleep(settings.renewIntervalMs(rangeCounts[assignment.holder] ?: 1))
             } else {
                 logFailure("renew", assignment.holder, assignment, result)
                 markLostIfSilent(assignment)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
@@ -23,6 +23,10 @@
     private val client: RelayClient,
     private val timer: TimerService,
 ) : KeyedStore by store {
+    /** Since when no planner has answered, or null while the planner answers. */
+    var plannerSilentSinceMs: Long? = timer.nowMs()
+        private set
+
     private var bypassUntilMs = Long.MIN_VALUE
     private var bypassed = CompletableDeferred<Unit>()
 
@@ -34,6 +38,7 @@
     }
 
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
+        if (stream == KeyedStream.ROUTERS && planner() == null) recordSilence()
         val address = planner().takeIf { stream == KeyedStream.ROUTERS && waitMs > 0 && timer.nowMs() >= bypassUntilMs }
         return address?.let { readFromPlanner(it, fromOffset, minOf(waitMs, MAX_WAIT_MS)) } ?: store.read(stream, fromOffset, waitMs)
     }
@@ -45,11 +50,21 @@
             bypassed.onAwait { null }
         }
         call.cancel()
-        if (answer is RelayAnswer.Records) return@coroutineScope StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
-        if (answer != null) bypassUntilMs = timer.nowMs() + BYPASS_MS
+        if (answer is RelayAnswer.Records) {
+            plannerSilentSinceMs = null
+            return@coroutineScope StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
+        }
+        if (answer != null) {
+            bypassUntilMs = timer.nowMs() + BYPASS_MS
+            recordSilence()
+        }
         null
     }
 
+    private fun recordSilence() {
+        plannerSilentSinceMs = plannerSilentSinceMs ?: timer.nowMs()
+    }
+
     private companion object {
         /** Longest wait at the planner. If it stops answering, this router reads the store only after this time and [CALL_TIMEOUT_MS]. */
         const val MAX_WAIT_MS = 3_000L
--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
@@ -0,0 +1,85 @@
+package yuccaflow.entry.keys
+
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import yuccaflow.entry.fake.RecordingEventLog
+import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.store.KeyedChange
+import yuccaflow.entry.store.KeyedRecord
+
+@DisplayName("A router stands for planner")
+class PlannerCandidacyTest {
+    private val scheduler = TestCoroutineScheduler()
+    private val timer = VirtualTimer(scheduler)
+    private val settings = KeyOwnershipSettings()
+    private val clusterState = ClusterState(timer, RecordingEventLog())
+    private var silentSinceMs: Long? = null
+
+    private fun candidacy(capacityCores: Double) =
+        PlannerCandidacy(capacityCores, clusterState, timer, settings) { silentSinceMs }
+
+    private fun addMember(node: String, capacityCores: Double) = apply(
+        ClusterState.memberChange(RouterMember(node, "a", "10.0.0.1:80", capacityCores)),
+    )
+
+    private fun addPlanner() = apply(ClusterState.plannerChange(PlannerTerm("large", "life", 1)))
+
+    private fun apply(change: KeyedChange) =
+        clusterState.onRecords(listOf(KeyedRecord(change.key, change.value, 0)), 1)
+
+    private fun advance(ms: Long) {
+        scheduler.advanceTimeBy(ms)
+        scheduler.runCurrent()
+    }
+
+    @Nested
+    @DisplayName("while a planner answers")
+    inner class PlannerAnswers {
+        /** Guards against a planner on a host that is too small for its work, so that grants expire and keys move late. */
+        @Test
+        fun `only on a large host`() {
+            addMember("large", 1.5)
+            addMember("small", 0.225)
+            addPlanner()
+            expectThat(candidacy(0.225).stands()).isFalse()
+            expectThat(candidacy(0.75).stands()).isTrue()
+        }
+
+        /** Guards against a group without candidates if all hosts are alike or do not report their capacity. */
+        @Test
+        fun `on any host if all are alike`() {
+            addMember("one", 0.6)
+            addMember("other", 0.6)
+            addPlanner()
+            expectThat(candidacy(0.6).stands()).isTrue()
+        }
+    }
+
+    /** Guards against keys without an owner because all large hosts are lost. */
+    @Test
+    fun `on a small host if no planner has answered for a while`() {
+        addMember("large", 1.5)
+        addPlanner()
+        val small = candidacy(0.225)
+        silentSinceMs = timer.nowMs()
+        advance(settings.smallHostDelayMs - 1)
+        expectThat(small.stands()).isFalse()
+        advance(1)
+        expectThat(small.stands()).isTrue()
+    }
+
+    /** Guards against a first planner on a small host because the membership records of the large ones have not been read yet. */
+    @Test
+    fun `only after the capacities of the other hosts can be known`() {
+        addMember("small", 0.225)
+        val small = candidacy(0.225)
+        expectThat(small.stands()).isFalse()
+        advance(settings.capacitiesKnownMs)
+        expectThat(small.stands()).isTrue()
+    }
+}
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
@@ -14,6 +14,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isTrue
 import yuccaflow.entry.config.OperatorState
@@ -239,6 +240,33 @@
         expectThat(sentCalls).isNotEmpty()
     }
 
+    @Nested
+    @DisplayName("renews")
+    inner class Renewals {
+        private fun renewalsPerSecond(rangeCount: Int): Double {
+            val ranges = (0 until rangeCount).map { assignment(0, 5L + it, from = it * 10, to = it * 10 + 9).copy(isMoving = false) }
+            grantManager.reconcile(scope, ranges)
+            advance(RENEWAL_PERIOD_MS)
+            return sentCalls.size * 1_000.0 / RENEWAL_PERIOD_MS
+        }
+
+        /** Guards against a planner that is kept busy by renewals of targets with many small ranges, so that grants expire. */
+        @Test
+        fun `ten ranges of a target far less than ten times as often as one`() {
+            val single = renewalsPerSecond(1)
+            grantManager.stop()
+            sentCalls.clear()
+            expectThat(renewalsPerSecond(10)).isLessThan(5 * single)
+        }
+
+        /** Guards against grants that expire because one renewal was lost. */
+        @Test
+        fun `each grant often enough for a second attempt before it expires`() {
+            val failedAttemptMs = settings.grantTimeoutMs + settings.retryDelayMs
+            expectThat(settings.renewIntervalMs(1_000) + 2 * failedAttemptMs).isLessThan(settings.grantDurationMs)
+        }
+    }
+
     /** Guards against keys that stay with an unresponsive target for as long as the store has its entry. */
     @Test
     fun `marks a holder as lost if it has answered no renewal for the duration of a grant`() {
@@ -250,4 +278,8 @@
         advance(2_000)
         expectThat(grantManager.isLost(unanswered.holder)).isTrue()
     }
+
+    private companion object {
+        const val RENEWAL_PERIOD_MS = 20_000L
+    }
 }
