--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -173,9 +173,19 @@
             return
         }
         val assignment = decode(record, Assignment.serializer()) ?: return
+        if (!isValid(assignment, service, from)) return reject(record, "expected a range of keys in order with holders that have addresses")
         ranges.getOrPut(service) { TreeMap() }[from] = assignment
     }
 
+    private fun isValid(assignment: Assignment, service: String, from: Int): Boolean {
+        val holders = assignment.formers.map { it.holder } + assignment.holder
+        return assignment.service == service &&
+            assignment.from == from &&
+            from in FIRST_KEY..LAST_KEY &&
+            assignment.to in from..LAST_KEY &&
+            holders.all { SocketAddress.parseOrNull(it.address) != null }
+    }
+
     private fun <T> decode(record: KeyedRecord, serializer: KSerializer<T>): T? {
         val value = record.value ?: return null
         return try {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
@@ -94,7 +94,7 @@
     }
 
     private fun parseLoad(text: String): LoadReport? {
-        val fields = text.split(',').map { it.trim().toIntOrNull() ?: return null }
+        val fields = text.split(',').map { field -> field.trim().toIntOrNull()?.takeIf { it in 0..MAX_LOAD_FIELD } ?: return null }
         if (fields.size < REQUIRED_LOAD_FIELDS) return null
         return LoadReport(fields[0], fields[1], fields[2], fields.getOrNull(REQUIRED_LOAD_FIELDS)?.let { it / PERCENT })
     }
@@ -102,6 +102,9 @@
     private companion object {
         const val MISDIRECTED = 421
         const val REQUIRED_LOAD_FIELDS = 3
+
+        /** No target has that many requests or is that many percent slower. Sums of two such fields do not overflow. */
+        const val MAX_LOAD_FIELD = 1_000_000
         const val PERCENT = 100.0
 
         /** How the reasons of the HTTP client's time-outs begin. */
