Stop reading from a connection once its close is announced

Cause: a stopping server announces the close with the last pending response of a connection. A caller that always has a pipelined request in progress never got it, kept sending until the drain time was over, and its running requests were cut off.

Change: the first request that is read after the announcement is the last one of its connection; callers send the ones behind it elsewhere. The drain may take one twelfth of the grace time more.

Test: HttpServerTest, 'handles only one more request after the announcement, even if the caller keeps sending', failed before.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -355,7 +355,7 @@
 
         // Shares of the grace time: until the load balancer sends no new requests, and for completing the requests in flight.
         const val ROTATION_SHARE = 5
-        const val DRAIN_SHARE = 5
+        const val DRAIN_SHARE = 6
         const val SHARES = 12
     }
 }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
@@ -89,7 +89,8 @@
                     // Callers resend all requests that follow a response that closes the connection.
                     if (isClosing) return null
                     start(read)
-                    if (!read.keepAlive) return null
+                    // On a connection with ever more pipelined requests, no response would be the last one.
+                    if (!read.keepAlive || shutdown.isAnnounced()) return null
                 }
             }
         }
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
@@ -73,6 +73,27 @@
             }
         }
 
+        /** Guards against a caller that always has requests in progress and whose last ones are cut off when the server stops. */
+        @Test
+        fun `handles only one more request after the announcement, even if the caller keeps sending`() {
+            val first = CompletableDeferred<Unit>()
+            start(HttpServerLimits(pipelineDepth = 4)) { request ->
+                if (request.target == "/1") first.await()
+                ECHO.handle(request)
+            }.use { caller ->
+                caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+                while (handled.isEmpty()) Thread.sleep(1)
+                server!!.announceClose()
+                caller.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+                while (handled.size < 2) Thread.sleep(1)
+                first.complete(Unit)
+                expectThat(caller.response().headers["connection"]).isEqualTo(null)
+                expectThat(caller.response().headers["connection"]).isEqualTo("close")
+                expectThat(caller.isClosedByServer()).isTrue()
+                expectThat(handled.toList()).containsExactly("/1", "/2")
+            }
+        }
+
         @Test
         fun `serves many pipelined requests that fill the event queue`() {
             val requests = 2_000
