Ask a new owner that refused a key again only after a while, and spread the times to come back

Cause: while a range moves, requests went to its new owner 300 ms after the assignment was read, although the grant can take until the former one has run out.

Change: a new owner that refused is asked again after 200 ms; the former owner serves meanwhile if it can. Requests wait only while the move is expected to end soon, and are refused at once otherwise. Retry-After varies by up to a quarter.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/ErrorResponses.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/ErrorResponses.kt
@@ -4,14 +4,20 @@
 import yuccaflow.http.HttpHeaderList
 import yuccaflow.http.HttpResponse
 import java.math.BigDecimal
+import kotlin.random.Random
 
 /** Builds the error responses that the router itself sends to callers. */
 internal class ErrorResponses(
     private val names: HeaderNames,
 ) {
-    /** The request has not run and never will. The caller may retry after [retryAfterMs]. */
-    fun refused(requestId: String?, reason: String, retryAfterMs: Long): HttpResponse =
-        response(UNAVAILABLE, requestId, reason, formatSeconds(retryAfterMs))
+    /**
+     * The request has not run and never will. The caller may retry after [retryAfterMs], give or take a random part of it: callers that are
+     * refused together must not come back together.
+     */
+    fun refused(requestId: String?, reason: String, retryAfterMs: Long): HttpResponse {
+        val spreadMs = retryAfterMs / RETRY_SPREAD_DIVISOR
+        return response(UNAVAILABLE, requestId, reason, formatSeconds(retryAfterMs + Random.nextLong(-spreadMs, spreadMs + 1)))
+    }
 
     /** A target may have run the request, but its response did not arrive. */
     fun unknown(requestId: String?, reason: String): HttpResponse = response(BAD_GATEWAY, requestId, reason)
@@ -43,5 +49,8 @@
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
         const val MS_DECIMAL_PLACES = 3
+
+        /** The time to come back varies by up to a quarter in both directions. */
+        const val RETRY_SPREAD_DIVISOR = 4
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -27,47 +27,62 @@
     /** Generations of moving ranges whose requests go to the former owner, because the new owner has refused one. */
     private val servedByFormerOwner = HashSet<Long>()
 
+    /** By generation of a moving range, when its new owner last refused a request. */
+    private val refusedByNewOwnerAtMs = HashMap<Long, Long>()
+
     /** Records that [target] refused a request because it does not own [key]. */
     fun recordNotOwner(service: String, key: Int, target: TargetState) {
         val assignment = clusterState.find(service, key) ?: return
         if (!assignment.isMoving) return onStaleAssignment()
         if (servedByFormerOwner.size > MAX_REMEMBERED_GENERATIONS) servedByFormerOwner.clear()
+        if (refusedByNewOwnerAtMs.size > MAX_REMEMBERED_GENERATIONS) refusedByNewOwnerAtMs.clear()
         if (assignment.holder.isIncarnationOf(target.entry)) {
             servedByFormerOwner += assignment.generation
+            refusedByNewOwnerAtMs[assignment.generation] = timer.nowMs()
         } else {
             servedByFormerOwner -= assignment.generation
         }
     }
 
-    /** Chooses the owner of [key]. Suspends up to [MAX_WAIT_MS], or a quarter of the remaining time, while no owner can be used. */
+    /**
+     * Chooses the owner of [key]. Suspends for up to a quarter of the remaining time while no owner can be used but is expected soon. A range
+     * whose move takes long has a former owner that cannot be reached, so its requests are not kept waiting.
+     */
     suspend fun choose(key: Int, context: ChoiceContext): TargetChoice {
-        val waitUntilMs = timer.nowMs() + minOf(MAX_WAIT_MS, context.remainingMs / WAIT_DIVISOR)
+        val startedAtMs = timer.nowMs()
         while (true) {
             val assignment = clusterState.find(context.serviceConfig.name, key)
-            val owner = assignment?.takeUnless(::isAwaitingGrant)?.let(::ownerOf)
+            val owner = assignment?.let(::ownerOf)
             val nowMs = timer.nowMs()
             if (owner != null && owner.suspectedUntilMs <= nowMs) return chooser.admit(owner, context, nowMs)
+            val waitUntilMs = minOf(ownerExpectedAtMs(assignment, startedAtMs), startedAtMs + context.remainingMs / WAIT_DIVISOR)
             if (nowMs >= waitUntilMs) return TargetChoice.None(reasonFor(assignment, owner), NO_OWNER_RETRY_AFTER_MS)
             timer.sleep(POLL_INTERVAL_MS)
         }
     }
 
+    private fun ownerExpectedAtMs(assignment: Assignment?, startedAtMs: Long): Long {
+        if (assignment == null || !assignment.isMoving) return startedAtMs + MAX_WAIT_MS
+        return timer.nowMs() - movingForMs(assignment) + MOVE_DURATION_MS
+    }
+
+    private fun movingForMs(assignment: Assignment): Long = clusterState.readAtMs(assignment)?.let { timer.nowMs() - it } ?: 0
+
     /**
      * The new owner refuses requests until its grant arrives. After [GRANT_DELIVERY_MS] the grant has probably arrived, and only the
-     * planner's record of its confirmation is missing.
+     * planner's record of its confirmation is missing. If the new owner refuses a request nevertheless, it is asked again only after a while.
      */
     private fun isAwaitingGrant(assignment: Assignment): Boolean {
-        if (!assignment.isMoving) return false
-        val readAtMs = clusterState.readAtMs(assignment) ?: return true
-        return timer.nowMs() - readAtMs < GRANT_DELIVERY_MS
+        val refusedAtMs = refusedByNewOwnerAtMs[assignment.generation]
+        val wasJustRefused = refusedAtMs != null && timer.nowMs() - refusedAtMs < NEW_OWNER_RETRY_MS
+        return wasJustRefused || movingForMs(assignment) < GRANT_DELIVERY_MS
     }
 
     private fun ownerOf(assignment: Assignment): TargetState? {
-        val former = assignment.formers
-            .lastOrNull()
-            ?.holder
-            ?.takeIf { assignment.isMoving && assignment.generation in servedByFormerOwner }
-        return former?.let(::stateOf) ?: stateOf(assignment.holder)
+        if (!assignment.isMoving) return stateOf(assignment.holder)
+        val former = assignment.formers.lastOrNull()?.holder?.takeIf { assignment.generation in servedByFormerOwner }
+        former?.let(::stateOf)?.let { return it }
+        return if (isAwaitingGrant(assignment)) null else stateOf(assignment.holder)
     }
 
     private fun stateOf(holder: TargetIncarnation): TargetState? {
@@ -93,10 +108,14 @@
     private companion object {
         const val MAX_REMEMBERED_GENERATIONS = 1_000
         const val MAX_WAIT_MS = 100L
+
+        /** Time in which a range usually moves if its former owner can be reached. */
+        const val MOVE_DURATION_MS = 600L
         const val WAIT_DIVISOR = 4
         const val POLL_INTERVAL_MS = 10L
         const val NO_OWNER_RETRY_AFTER_MS = 250L
         const val GRANT_DELIVERY_MS = 300L
+        const val NEW_OWNER_RETRY_MS = 200L
 
         /** A leaving target must receive no requests later than 2 s after it announced that. */
         const val LEAVING_OWNER_USABLE_MS = 1_200L
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyOwnerChooserTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyOwnerChooserTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNull
 import yuccaflow.entry.balance.ChoiceContext
 import yuccaflow.entry.balance.ColdStartLimiter
@@ -26,6 +27,7 @@
 import yuccaflow.entry.keys.Assignment
 import yuccaflow.entry.keys.ClusterState
 import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.FormerHolder
 import yuccaflow.entry.keys.LAST_KEY
 import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.entry.store.KeyedRecord
@@ -44,6 +46,7 @@
     private val route =
         Route("read", "h", "/", RequestKind.IDEMPOTENT, 1_000, 200, 2, 1, persistentListOf(ServiceShare(KEYED_SERVICE, 1.0)))
     private val owner = FakeRecords.entry("t1", 1, zone = "z", bornMs = 5)
+    private val former = FakeRecords.entry("t2", 2, zone = "z", bornMs = 5)
 
     init {
         write(owner)
@@ -54,8 +57,8 @@
 
     private fun writeTarget(id: String, value: ByteArray?) = directory.onRecords(listOf(KeyedRecord(id, value, 0)), 1)
 
-    private fun assign(isMoving: Boolean) {
-        val assignment = Assignment(KEYED_SERVICE, FIRST_KEY, LAST_KEY, incarnationOf(owner), 1, emptyList(), isMoving)
+    private fun assign(isMoving: Boolean, generation: Long = 1, formers: List<FormerHolder> = emptyList()) {
+        val assignment = Assignment(KEYED_SERVICE, FIRST_KEY, LAST_KEY, incarnationOf(owner), generation, formers, isMoving)
         val change = ClusterState.rangeChange(assignment)
         records.onRecords(listOf(KeyedRecord(change.key, change.value, 0)), 1)
     }
@@ -116,6 +119,45 @@
         }
     }
 
+    @Nested
+    @DisplayName("given a new owner that refused a request because it waits for its grant")
+    inner class NewOwnerRefused {
+        private fun refuseByNewOwner() {
+            timer.now += 300
+            chooser.recordNotOwner(KEYED_SERVICE, KEY, directory.find("t1")!!)
+        }
+
+        /** Guards against requests that use up the retry budget at an owner that has just refused the key. */
+        @Test
+        fun `asks it again only after a while`() = runTest {
+            assign(isMoving = true)
+            refuseByNewOwner()
+            val refusedAtMs = timer.now
+            expectThat(chosenTarget()).isEqualTo("t1")
+            expectThat(timer.now - refusedAtMs).isGreaterThanOrEqualTo(200)
+        }
+
+        /** Guards against unserved keys while their former owner still has its grant. */
+        @Test
+        fun `chooses the former owner`() = runTest {
+            write(former)
+            assign(isMoving = true, generation = 2, formers = listOf(FormerHolder(incarnationOf(former), 1)))
+            refuseByNewOwner()
+            expectThat(chosenTarget()).isEqualTo("t2")
+        }
+    }
+
+    /** Guards against requests that wait in vain while the grant of an unreachable former owner is waited out. */
+    @Test
+    fun `does not wait for a move that takes long`() = runTest {
+        write(owner.copy(bornMs = 6))
+        assign(isMoving = true)
+        timer.now += 2_000
+        val askedAtMs = timer.now
+        expectThat(chosenTarget()).isNull()
+        expectThat(timer.now).isEqualTo(askedAtMs)
+    }
+
     /** Guards against requests to an owner that cannot be reached. */
     @Test
     fun `does not choose a suspected owner`() = runTest {
