Make a restarted planner wait for the planners before its previous life

Cause: a planner that is killed and starts again claims the role at once. It took the end of its own previous life for the end of all former planners.

Change: the planner record says whether all planners before it have ended. It is set with the claim where that is known, else by one more record when their authority has run out. A restarted planner waits unless its previous life had recorded it.

Test: ExclusiveOwnershipTest, 'a planner that restarted early in its term waits ...', failed before; the tests of the package pass.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -22,7 +22,7 @@
  * @property node the name of the router, or empty if the planner has resigned.
  * @property life identifies the incarnation of the router, that is, one run of its process.
  * @property term increases with each change of the planner.
- * @property haveFormersEnded whether none of the planners before the one that resigned can still call targets. Set only by a resignation.
+ * @property haveFormersEnded whether none of the planners before this one, or before the one that resigned, can still call targets.
  */
 @Serializable
 internal data class PlannerTerm(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -94,11 +94,16 @@
             } else {
                 dependencies.election.adoptTerm()
                 grantManager.reconcile(this, clusterState.services().flatMap { clusterState.ofService(it) })
-                if (hasAuthority()) planServices()
+                if (hasAuthority() && !recordFormersEnded()) planServices()
             }
         }
     }
 
+    private suspend fun recordFormersEnded(): Boolean {
+        val end = clusterState.endOffset ?: return false
+        return dependencies.election.recordFormersEnded().also { if (it) awaitEndAfter(end) }
+    }
+
     private suspend fun planServices() {
         val keyed = dependencies.operators.table
             ?.services
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -132,7 +132,7 @@
     }
 
     private suspend fun claim(former: PlannerTerm?, end: Long): Boolean {
-        val term = PlannerTerm(node, incarnation, (former?.term ?: 0) + 1)
+        val term = PlannerTerm(node, incarnation, (former?.term ?: 0) + 1, haveFormersEnded = haveAllEnded(former))
         val result = dependencies.store.append(KeyedStream.ROUTERS, listOf(ClusterState.plannerChange(term)), end)
         if (result !is KeyedAppendResult.Appended) return false
         currentTerm = term.term
@@ -158,14 +158,30 @@
     private fun startTerm(former: PlannerTerm?, endOffset: Long) {
         val nowMs = timer.nowMs()
         termStartOffset = endOffset
-        // A planner that resigned, or an earlier incarnation of this router, calls no targets any more, but its grants may still be valid.
-        // If the planner resigned early in its term, the planner before it may still be active.
-        val hasEnded = former == null || (former.isVacant && former.haveFormersEnded) || former.node == node
-        val formerEndsAtMs = if (hasEnded) nowMs else nowMs + settings.maxAuthorityMs
+        val formerEndsAtMs = if (haveAllEnded(former)) nowMs else nowMs + settings.maxAuthorityMs
         movesAllowedAtMs = formerEndsAtMs
         formerGrantsEndAtMs = if (former == null) nowMs else formerEndsAtMs + settings.grantTimeoutMs + settings.maxGrantDurationMs
     }
 
+    /**
+     * Returns whether [former] and the planners before it call no targets any more, although their grants may still be valid. A planner that
+     * resigned, or an earlier incarnation of this router, has ended, but if that was early in its term, the planner before it may be active.
+     */
+    private fun haveAllEnded(former: PlannerTerm?): Boolean =
+        former == null || ((former.isVacant || former.node == node) && former.haveFormersEnded)
+
+    /**
+     * Records that all former planners have ended, once that is certain, so that the next term of this router need not wait for them. Returns
+     * whether the record was appended or may have been.
+     */
+    suspend fun recordFormersEnded(): Boolean {
+        val own = clusterState.planner?.takeIf { isRecordedPlanner() && !it.haveFormersEnded } ?: return false
+        val end = clusterState.endOffset ?: return false
+        if (timer.nowMs() < movesAllowedAtMs) return false
+        dependencies.store.append(KeyedStream.ROUTERS, listOf(ClusterState.plannerChange(own.copy(haveFormersEnded = true))), end)
+        return true
+    }
+
     private fun onJoined(result: JoinResult.Joined, startedAtMs: Long) {
         if (isDisconnected || membership == null) {
             events.log(Events.GROUP_JOINED) {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/ExclusiveOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/ExclusiveOwnershipTest.kt
@@ -173,7 +173,19 @@
      * predecessor resigned early in its term, the planner before it may still renew the grants of targets in its partition.
      */
     @Test
-    fun `the successor of a planner that resigned early waits for the grants of the planner before it`() {
+    fun `the successor of a planner that resigned early waits for the grants of the planner before it`() =
+        expectWaitsForTheOneBefore { successor -> scope.launch { successor.resign() } }
+
+    /** Guards against a restarted planner that takes the end of its own previous incarnation as proof that all former planners have ended. */
+    @Test
+    fun `a planner that restarted early in its term waits for the grants of the planner before it`() =
+        expectWaitsForTheOneBefore { successor ->
+            successor.kill()
+            startRouter(successor.node)
+        }
+
+    /** Lets [endTerm] end the term of a planner that has just taken over from one that is partitioned together with some targets. */
+    private fun expectWaitsForTheOneBefore(endTerm: PlannerSimulation.(SimulatedRouter) -> Unit) {
         val hasSuccessor: PlannerSimulation.(SimulatedRouter) -> Boolean = { former ->
             (routers.values - former).any { it.authority.isValid() }
         }
@@ -192,7 +204,7 @@
             isolate(former, setOf("t0", "t1"))
             while (!hasSuccessor(former)) advance(10)
             val successor = (routers.values - former).first { it.authority.isValid() }
-            scope.launch { successor.resign() }
+            endTerm(successor)
             advance(20_000)
             expectThat(targets.violations).isEmpty()
             expectThat(planner()?.node == former.node).isEqualTo(false)
