--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.get
 import strikt.assertions.isEqualTo
