--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -80,7 +80,10 @@
 
     private fun ownerOf(assignment: Assignment): TargetState? {
         if (!assignment.isMoving) return stateOf(assignment.holder)
-        val former = assignment.formers.lastOrNull()?.holder?.takeIf { assignment.generation in servedByFormerOwner }
+        val former = assignment.formers
+            .lastOrNull()
+            ?.holder
+            ?.takeIf { assignment.generation in servedByFormerOwner }
         former?.let(::stateOf)?.let { return it }
         return if (isAwaitingGrant(assignment)) null else stateOf(assignment.holder)
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -43,7 +43,9 @@
  * keeps the time until a router knows that a target drains well below the time for which that target goes on serving.
  */
 internal fun targetsFollowerSettings(readerCount: Int) =
-    FollowerSettings(batchDelayMs = (readerCount * BATCH_DELAY_PER_READER_MS).coerceIn(MIN_TARGETS_BATCH_DELAY_MS, MAX_TARGETS_BATCH_DELAY_MS))
+    FollowerSettings(
+        batchDelayMs = (readerCount * BATCH_DELAY_PER_READER_MS).coerceIn(MIN_TARGETS_BATCH_DELAY_MS, MAX_TARGETS_BATCH_DELAY_MS),
+    )
 
 private const val BATCH_DELAY_PER_READER_MS = 5L
 private const val MIN_TARGETS_BATCH_DELAY_MS = 200L
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
@@ -9,7 +9,10 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import yuccaflow.base.TimerService
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.FakeStoreData
@@ -128,4 +131,19 @@
         fixture.appendMember("r1")
         expectThat(keys(pendingRead.await())).containsExactly("member/r1")
     }
+
+    /** Guards against routers on small hosts that stand for planner although it answers, or that never do although it is lost. */
+    @Test
+    fun `knows since when the planner has not answered`() = withFixture { fixture ->
+        fixture.appendMember("r1")
+        testScheduler.advanceTimeBy(100)
+        fixture.plannerBackedStore.read(KeyedStream.ROUTERS, 1, 25_000)
+        expectThat(fixture.plannerBackedStore.plannerSilentSinceMs).isNull()
+        fixture.isConfirmed = false
+        val lostAtMs = testScheduler.currentTime
+        val pendingRead = async { fixture.plannerBackedStore.read(KeyedStream.ROUTERS, 2, 25_000) }
+        testScheduler.advanceTimeBy(600)
+        expectThat(fixture.plannerBackedStore.plannerSilentSinceMs).isNotNull().isGreaterThanOrEqualTo(lostAtMs)
+        pendingRead.cancel()
+    }
 }
