--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
@@ -124,13 +124,18 @@
     inner class RefusedConnection {
         private val holderEntry = FakeRecords.entry("t0", 1)
 
-        private fun expectGrantedElsewhereOnlyAfterExpiry() {
+        /** Moves the keys of `t0`, which refuses connections from now on, to `t1`, and lets [durationMs] pass. */
+        private fun moveFromRefusingHolder(durationMs: Long) {
             val first = assignment(0, 5)
             grantManager.reconcile(scope, listOf(first))
             advance(100)
             answer = KeyGrantResult.ConnectionRefused("closed")
             grantManager.reconcile(scope, listOf(movedFrom(first, 1, 9)))
-            advance(20_000)
+            advance(durationMs)
+        }
+
+        private fun expectGrantedElsewhereOnlyAfterExpiry() {
+            moveFromRefusingHolder(durationMs = 20_000)
             val lastGrantedAtMs = sentCalls.filter { it.target == "t0" && it.operation == "grant" }.maxOf { it.startedAtMs }
             val granted = sentCalls.first { it.target == "t1" }
             expectThat(granted.startedAtMs).isGreaterThanOrEqualTo(lastGrantedAtMs + settings.grantDurationMs)
@@ -155,12 +160,7 @@
         @Test
         fun `takes the keys at once from a target that is not leaving`() {
             directory.onRecords(listOf(FakeRecords.targetRecord(holderEntry, 1)), 2)
-            val first = assignment(0, 5)
-            grantManager.reconcile(scope, listOf(first))
-            advance(100)
-            answer = KeyGrantResult.ConnectionRefused("closed")
-            grantManager.reconcile(scope, listOf(movedFrom(first, 1, 9)))
-            advance(settings.releaseTimeoutMs + 100)
+            moveFromRefusingHolder(settings.releaseTimeoutMs + 100)
             expectThat(sentCalls.filter { it.target == "t1" }).isNotEmpty()
         }
     }
