--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -48,8 +48,8 @@
     val timingMarginMs: Long = 100,
 ) {
     /**
-     * Returns the time between renewals of each grant of a target that has [rangeCount] grants. A target with many grants is called about as
-     * often as one with a single grant, so that the work of the planner grows with the targets and not with the ranges.
+     * Returns the time between renewals of each grant of a target that has [rangeCount] grants. A target with many grants is called about
+     * as often as one with a single grant, so that the work of the planner grows with the targets and not with the ranges.
      */
     fun renewIntervalMs(rangeCount: Int): Long = (minRenewIntervalMs * rangeCount).coerceAtMost(maxRenewIntervalMs)
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
@@ -3,9 +3,9 @@
 import yuccaflow.base.TimerService
 
 /**
- * Decides whether this router stands for planner. The planner calls every target of the keyed services several times in a few seconds, which
- * a small host cannot do beside its callers' requests: grants would expire and keys would move late. So routers on small hosts stand only
- * while no planner answers.
+ * Decides whether this router stands for planner. The planner calls every target of the keyed services several times in a few seconds,
+ * which a small host cannot do beside its callers' requests: grants would expire and keys would move late. So routers on small hosts stand
+ * only while no planner answers.
  *
  * @property capacityCores processing capacity of this host, in cores.
  * @property plannerSilentSinceMs returns since when no planner has answered this router, or null while the planner answers.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -164,15 +164,16 @@
     }
 
     /**
-     * Returns whether [former] and the planners before it call no targets any more, although their grants may still be valid. A planner that
-     * resigned, or an earlier incarnation of this router, has ended, but if that was early in its term, the planner before it may be active.
+     * Returns whether [former] and the planners before it call no targets any more, although their grants may still be valid. A planner
+     * that resigned, or an earlier incarnation of this router, has ended, but if that was early in its term, the planner before it may be
+     * active.
      */
     private fun haveAllEnded(former: PlannerTerm?): Boolean =
         former == null || ((former.isVacant || former.node == node) && former.haveFormersEnded)
 
     /**
-     * Records that all former planners have ended, once that is certain, so that the next term of this router need not wait for them. Returns
-     * whether the record was appended or may have been.
+     * Records that all former planners have ended, once that is certain, so that the next term of this router need not wait for them.
+     * Returns whether the record was appended or may have been.
      */
     suspend fun recordFormersEnded(): Boolean {
         val own = clusterState.planner?.takeIf { isRecordedPlanner() && !it.haveFormersEnded } ?: return false
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -45,8 +45,8 @@
     }
 
     /**
-     * Chooses the owner of [key]. Suspends for up to a quarter of the remaining time while no owner can be used but is expected soon. A range
-     * whose move takes long has a former owner that cannot be reached, so its requests are not kept waiting.
+     * Chooses the owner of [key]. Suspends for up to a quarter of the remaining time while no owner can be used but is expected soon. A
+     * range whose move takes long has a former owner that cannot be reached, so its requests are not kept waiting.
      */
     suspend fun choose(key: Int, context: ChoiceContext): TargetChoice {
         val startedAtMs = timer.nowMs()
@@ -70,7 +70,8 @@
 
     /**
      * The new owner refuses requests until its grant arrives. After [GRANT_DELIVERY_MS] the grant has probably arrived, and only the
-     * planner's record of its confirmation is missing. If the new owner refuses a request nevertheless, it is asked again only after a while.
+     * planner's record of its confirmation is missing. If the new owner refuses a request nevertheless, it is asked again only after a
+     * while.
      */
     private fun isAwaitingGrant(assignment: Assignment): Boolean {
         val refusedAtMs = refusedByNewOwnerAtMs[assignment.generation]
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/ExclusiveOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/ExclusiveOwnershipTest.kt
@@ -176,7 +176,9 @@
     fun `the successor of a planner that resigned early waits for the grants of the planner before it`() =
         expectWaitsForTheOneBefore { successor -> scope.launch { successor.resign() } }
 
-    /** Guards against a restarted planner that takes the end of its own previous incarnation as proof that all former planners have ended. */
+    /**
+     * Guards against a restarted planner that takes the end of its own previous incarnation as proof that all former planners have ended.
+     */
     @Test
     fun `a planner that restarted early in its term waits for the grants of the planner before it`() =
         expectWaitsForTheOneBefore { successor ->
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
@@ -101,7 +101,10 @@
         expectThat(store.snapshots).isEqualTo(2)
     }
 
-    /** Guards against calls to the store that grow with the routers times the changes, and against the entry of a draining target that is read late. */
+    /**
+     * Guards against calls to the store that grow with the routers times the changes, and against the entry of a draining target that is
+     * read late.
+     */
     @Test
     fun `gathers more records in each read the more routers read, but not so long that a draining target is noticed late`() {
         val delaysMs = listOf(1, 12, 88, 490).map { targetsFollowerSettings(it).batchDelayMs }
