Give the first planner's election more time to learn the capacities of the hosts

On 0.225 of a core a router takes 1 to 2 s to start, so that after 1.5 s it may know few of the others.

Change: 3.5 s, only before the first planner record of a system; keys are handed out well before traffic.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -38,7 +38,7 @@
     val memberTtlMs: Long = 1_800,
     val joinIntervalMs: Long = 550,
     val candidateStabilityMs: Long = 500,
-    val capacitiesKnownMs: Long = 1_500,
+    val capacitiesKnownMs: Long = 3_500,
     val smallHostDelayMs: Long = 1_500,
     val planIntervalMs: Long = 200,
     val minBalanceIntervalMs: Long = 700,
