--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -51,7 +51,6 @@
 import yuccaflow.entry.store.RouterGroup
 import yuccaflow.entry.store.StreamFollower
 import yuccaflow.entry.store.StreamListener
-import yuccaflow.entry.store.targetsFollowerSettings
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 import yuccaflow.entry.telemetry.RouterMeters
@@ -126,7 +125,7 @@
     private val clusterState = ClusterState(timer, events)
     private val operatorsFollower = follower(KeyedStream.OPERATORS, operators) { shortenWaitsIfSlow(FollowerSettings()) }
     private val targetsFollower: StreamFollower =
-        follower(KeyedStream.TARGETS, directory) { shortenWaitsIfSlow(targetsFollowerSettings(clusterState.memberCount)) }
+        follower(KeyedStream.TARGETS, directory) { shortenWaitsIfSlow(FollowerSettings(batchDelayMs = TARGETS_BATCH_DELAY_MS)) }
     private val clusterStateStore =
         PlannerBackedStore(storeAccess, { clusterState.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
     private val clusterStateFollower: StreamFollower =
@@ -344,6 +343,7 @@
         const val SLOW_STORE_WAIT_MS = 800L
 
         // Delays after records have arrived, so that one read returns several.
+        const val TARGETS_BATCH_DELAY_MS = 200L
         const val CLUSTER_STATE_BATCH_DELAY_MS = 40L
         const val PLANNER_BATCH_DELAY_MS = 1L
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -124,7 +124,7 @@
         const val NEW_OWNER_RETRY_MS = 1_000L
 
         /** A leaving target must receive no requests later than 2 s after it announced that. */
-        const val LEAVING_OWNER_USABLE_MS = 1_000L
+        const val LEAVING_OWNER_USABLE_MS = 1_200L
 
         /** The targets of an emptied zone must receive no requests later than 5 s after the operators emptied it. */
         const val EMPTIED_ZONE_USABLE_MS = 3_500L
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -37,20 +37,6 @@
     val minRefreshIntervalMs: Long = 300,
 )
 
-/**
- * Returns the settings for the targets' stream, which is read by [readerCount] routers and changes all the time in a large system. The more
- * readers there are, the more records each read takes at once, so that the calls to the store grow more slowly than the routers. The limit
- * keeps the time until a router knows that a target drains well below the time for which that target goes on serving.
- */
-internal fun targetsFollowerSettings(readerCount: Int) =
-    FollowerSettings(
-        batchDelayMs = (readerCount * BATCH_DELAY_PER_READER_MS).coerceIn(MIN_TARGETS_BATCH_DELAY_MS, MAX_TARGETS_BATCH_DELAY_MS),
-    )
-
-private const val BATCH_DELAY_PER_READER_MS = 5L
-private const val MIN_TARGETS_BATCH_DELAY_MS = 200L
-private const val MAX_TARGETS_BATCH_DELAY_MS = 500L
-
 /** Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them. */
 internal class StreamFollower(
     private val store: KeyedStore,
