--- a/review/standin/Cluster.java
+++ b/review/standin/Cluster.java
@@ -16,6 +16,14 @@
 
 /** A small deployment on loopback: stand-ins of store and upstreams in this process, the project's routers as processes. */
 final class Cluster implements AutoCloseable {
+  static {
+    // A case that fails by itself must not look like one that found a fault.
+    Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
+      failure.printStackTrace();
+      System.exit(2);
+    });
+  }
+
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
   /** A router process. */
@@ -108,6 +116,7 @@
   Cluster(String recordFile) throws Exception {
     record = new PrintWriter(new File(recordFile));
     record("trouble: " + TROUBLE);
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killRouters));
   }
 
   /** Writes one line to the record. */
@@ -139,7 +148,10 @@
     for (Router router : starting) {
       long until = System.nanoTime() + 30_000_000_000L;
       while (!router.isReady()) {
-        if (System.nanoTime() > until) finish(2, router.node + " did not get ready");
+        if (System.nanoTime() > until || !router.process.isAlive()) {
+          router.log().lines().filter(line -> !line.contains("\"event\"")).limit(20).forEach(this::record);
+          finish(2, router.node + " did not get ready");
+        }
         Thread.sleep(100);
       }
     }
@@ -164,13 +176,17 @@
     System.exit(status);
   }
 
+  private void killRouters() {
+    for (Router router : routers) {
+      if (router.process != null) router.process.destroyForcibly();
+    }
+  }
+
   @Override
   public void close() throws Exception {
+    killRouters();
     for (Router router : routers) {
-      if (router.process != null) {
-        router.process.destroyForcibly();
-        router.process.waitFor();
-      }
+      if (router.process != null) router.process.waitFor();
     }
     String kept = System.getenv("KEEP_LOGS");
     try (java.util.stream.Stream<Path> files = Files.list(folder)) {
@@ -189,9 +205,19 @@
     return Arrays.asList(run.group(1).split(" "));
   }
 
+  /** Returns a free port below those that the system gives to outgoing connections, which could take it before the router does. */
   private static int freePort() throws Exception {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = FIRST_PORT + RANDOM.nextInt(PORTS);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (java.net.BindException taken) {
+        // Tries another one.
+      }
     }
   }
+
+  private static final int FIRST_PORT = 15_000;
+  private static final int PORTS = 15_000;
+  private static final java.util.Random RANDOM = new java.util.Random();
 }
--- a/review/standin/Target.java
+++ b/review/standin/Target.java
@@ -27,6 +27,9 @@
     }
   }
 
+  /** Pause between blocks of 16 KB of an answer without end, which makes about 1 MB a second. */
+  private static final long ENDLESS_PAUSE_MS = 15;
+
   final String id;
   final String service;
   final String zone;
@@ -39,6 +42,10 @@
   private final boolean keyed;
   private List<Grant> held = new ArrayList<>();
   private final List<Grant> seen = new ArrayList<>();
+  /** Share of the answers in which the upstream is faulty: it sends bytes without end behind the head, until the caller closes. */
+  volatile double endlessShare;
+  /** Answers without end that were begun. */
+  final AtomicInteger endlessAnswers = new AtomicInteger();
   /** The address in the directory entry; a proxy may stand there. */
   String address;
 
@@ -69,6 +76,7 @@
     runs.computeIfAbsent(attempt, any -> new AtomicInteger()).incrementAndGet();
     Thread.sleep(Long.parseLong(request.path().split("/")[2]));
     ended.put(attempt, true);
+    if (Math.random() < endlessShare) return sendWithoutEnd(attempt, connection);
     byte[] body = ("ran " + attempt + " with " + request.body.length + " bytes").getBytes(StandardCharsets.UTF_8);
     return new Http.Response(200, body)
         .with("Yuccaflow-Attempt-Id", attempt)
@@ -76,6 +84,17 @@
         .with("Yuccaflow-Server-Load", "1,0,6,100");
   }
 
+  private Http.Response sendWithoutEnd(String attempt, Socket connection) throws Exception {
+    endlessAnswers.incrementAndGet();
+    String head = "HTTP/1.1 200 X\r\nYuccaflow-Attempt-Id: " + attempt + "\r\nYuccaflow-Response-Signature: s." + attempt + "\r\n\r\n";
+    connection.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+    byte[] bytes = new byte[16_384];
+    while (true) {
+      connection.getOutputStream().write(bytes);
+      Thread.sleep(ENDLESS_PAUSE_MS);
+    }
+  }
+
   private Http.Response misdirected(String attempt) {
     Http.Response response = Http.Response.json(421, "{}").with("Yuccaflow-Instance-Id", id);
     return attempt == null ? response : response.with("Yuccaflow-Attempt-Id", attempt);
