--- a/review/standin/HangupAtStart.java
+++ b/review/standin/HangupAtStart.java
@@ -1,7 +1,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Two of three routers get SIGHUP shortly after their start, because their settings files were changed. Counts how often a router process
+ * Two of seven routers get SIGHUP shortly after their start, because their settings files were changed. Counts how often a router process
  * ends by itself. A process that has ended is started again, as the platform does, and gets the next SIGHUP then.
  */
 final class HangupAtStart {
@@ -17,7 +17,7 @@
     Cluster cluster = new Cluster(args[0]);
     cluster.store.put("keyed.op", "config", CONFIG);
     cluster.addTarget("i-roll0", "roll", "a", false);
-    for (int i = 0; i < 3; i++) cluster.addRouter("edge-a-" + i, "a");
+    for (int i = 0; i < 7; i++) cluster.addRouter("edge-a-" + i, "a");
     cluster.startRouters(2);
     int[] ends = new int[2];
     for (int round = 0; round < ROUNDS; round++) {
@@ -33,6 +33,6 @@
       }
     }
     boolean broken = ends[0] >= ROUNDS && ends[1] >= ROUNDS;
-    cluster.finish(broken ? 1 : 0, broken ? "Fault: two of three routers ended by themselves three times" : "held: " + ends[0] + " and " + ends[1] + " ends");
+    cluster.finish(broken ? 1 : 0, broken ? "Fault: two of seven routers ended by themselves three times" : "held: " + ends[0] + " and " + ends[1] + " ends");
   }
 }
