Never take a refused connection for the end of a target

Cause: the planner took a refused connection in the target's zone for the end of its process and granted the keys elsewhere at once. A path that resets connections looks the same.

Change: keys of a target that does not release them are waited out, also when another router reports the refusal. Grants last 3.5 s instead of 5 s, so that waiting costs less; the planner's authority lasts 6 s instead of 5 s, so that outages of the store are survived as long.

RangeGrantManagerTest "waits until the grant of a target that is not leaving has expired" failed before (granted at 1,300 ms, allowed from 5,001 ms).

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -238,7 +238,6 @@
 
     private fun keyPlanner(): KeyPlanner {
         val dependencies = PlannerDependencies(
-            settings.zone,
             storeAccess,
             clusterState,
             operators,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyGrantClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyGrantClient.kt
@@ -37,8 +37,8 @@
     ) : KeyGrantResult
 
     /**
-     * The connection was refused. To a client in the target's own zone this means that no process listens at the address. Across zones it
-     * may also be a network partition that resets connections.
+     * The connection was refused. The target's process may still be running: a target that leaves closes its port before it has ended, and a
+     * network partition can reset connections.
      */
     data class ConnectionRefused(
         val reason: String,
@@ -57,7 +57,10 @@
 
 /** Releases keys through another router in the zone of the target. */
 internal fun interface SameZoneRelease {
-    /** Asks a router in the zone of [target] to release [range] there. Returns null if none answers. */
+    /**
+     * Asks a router in the zone of [target] to release [range] there. Returns [KeyGrantResult.Done], [KeyGrantResult.OtherTarget], or null if
+     * no router could release the keys.
+     */
     suspend fun release(target: TargetEndpoint, range: FencedKeyRange): KeyGrantResult?
 }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -8,7 +8,7 @@
  * @property minRenewIntervalMs time between renewals of the only grant of a target. Each one also shows whether the target is running.
  * @property maxRenewIntervalMs longest time between renewals of a grant. It leaves time for further attempts before the grant expires.
  * @property retryDelayMs delay before a failed call to a target is repeated, and between checks whether calls are allowed again.
- * @property refusedRetryDelayMs longest delay before a release is repeated at a leaving target that refuses connections.
+ * @property refusedRetryDelayMs longest delay before a release is repeated at a target that refuses connections.
  * @property grantTimeoutMs how long a grant may be in transit before it is abandoned.
  * @property authorityMs how long the planner may act after the start of a read that showed no other planner. It bounds how long grants are
  * renewed while the store is down, and how long a successor waits before it moves keys.
@@ -26,14 +26,14 @@
  * @property timingMarginMs margin that is added to time limits which another process observes.
  */
 internal data class KeyOwnershipSettings(
-    val grantDurationMs: Long = 5_000,
+    val grantDurationMs: Long = 3_500,
     val minRenewIntervalMs: Long = 800,
-    val maxRenewIntervalMs: Long = 2_000,
+    val maxRenewIntervalMs: Long = 1_700,
     val retryDelayMs: Long = 150,
     val refusedRetryDelayMs: Long = 1_000,
     val grantTimeoutMs: Long = 400,
     val releaseTimeoutMs: Long = 1_200,
-    val authorityMs: Long = 5_000,
+    val authorityMs: Long = 6_000,
     val authorityReadWaitMs: Long = 1_000,
     val memberTtlMs: Long = 1_800,
     val joinIntervalMs: Long = 550,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -16,7 +16,6 @@
 
 /** The collaborators of a [KeyPlanner]. */
 internal class PlannerDependencies(
-    val zone: String,
     val store: KeyedStore,
     val clusterState: ClusterState,
     val operators: OperatorState,
@@ -43,7 +42,6 @@
 ) : PlannerContext {
     private val clusterState = dependencies.clusterState
     private val grantManager = RangeGrantManager(
-        dependencies.zone,
         dependencies.directory,
         dependencies.grantClient,
         dependencies.sameZoneRelease,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -34,7 +34,6 @@
  * holders, grants them to the new holder, and renews the grant until the assignment is replaced.
  */
 internal class RangeGrantManager(
-    private val zone: String,
     private val directory: TargetDirectory,
     private val grantClient: KeyGrantClient,
     private val sameZoneRelease: SameZoneRelease,
@@ -73,7 +72,10 @@
         tasks.clear()
     }
 
-    /** Returns whether [holder] was recently found to have ended, or has lost its grants because it did not answer renewals. */
+    /**
+     * Returns whether [holder] is to be assigned no keys: it recently refused a connection, was found to have ended, or has lost its grants
+     * because it did not answer renewals.
+     */
     fun isLost(holder: TargetIncarnation): Boolean {
         val lostAtMs = lostHolders[holder] ?: return false
         return timer.nowMs() - lostAtMs < LOST_RETENTION_MS
@@ -111,10 +113,6 @@
                     return null
                 }
                 is KeyGrantResult.ConnectionRefused -> {
-                    if (!mayBeLeaving(former.holder)) {
-                        recordLost(former, assignment, result)
-                        return null
-                    }
                     logFailure("release", former.holder, assignment, result)
                     timer.sleep((grantEndsAtMs(former) - timer.nowMs()).coerceIn(settings.retryDelayMs, settings.refusedRetryDelayMs))
                 }
@@ -126,36 +124,16 @@
         }
     }
 
-    /**
-     * Returns whether [holder] may be shutting down. A target that leaves can close its port while it still runs requests, so a refused
-     * connection to it does not mean that its process has ended. Some targets only remove their entry and never report that they leave.
-     */
-    private fun mayBeLeaving(holder: TargetIncarnation): Boolean {
-        val state = directory.find(holder.target) ?: return true
-        return state.entry.isDraining || state.entryRemovedAtMs != null
-    }
-
     private fun recordLost(former: FormerHolder, assignment: Assignment, result: KeyGrantResult) {
         logRelease(former, assignment, result.toString())
         lostHolders[former.holder] = timer.nowMs()
     }
 
-    /**
-     * Releases keys by a direct call or, if that fails, through a router in the zone of the target. Returns
-     * [KeyGrantResult.ConnectionRefused] only if the connection was refused within the target's zone.
-     */
+    /** Releases keys by a direct call or, if that fails, through a router in the zone of the target. */
     private suspend fun release(target: TargetEndpoint, range: FencedKeyRange): KeyGrantResult {
         val result = grantClient.release(target, range, settings.releaseTimeoutMs)
-        val isCertain = result is KeyGrantResult.Done ||
-            result is KeyGrantResult.OtherTarget ||
-            (result is KeyGrantResult.ConnectionRefused && target.zone == zone)
-        if (isCertain) return result
-        val relayed = sameZoneRelease.release(target, range)
-        return when {
-            relayed != null -> relayed
-            result is KeyGrantResult.ConnectionRefused -> KeyGrantResult.NoAnswer(result.reason)
-            else -> result
-        }
+        if (result is KeyGrantResult.Done || result is KeyGrantResult.OtherTarget) return result
+        return sameZoneRelease.release(target, range) ?: result
     }
 
     /** Retries until the target confirms the grant. The task is cancelled when the planner assigns the range to another holder. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -85,7 +85,7 @@
     val range = FencedKeyRange(call.from, call.to, call.generation)
     return when (val result = keyGrantClient.release(TargetEndpoint(call.target, address, call.zone), range, RELEASE_TIMEOUT_MS)) {
         is KeyGrantResult.Done -> RelayAnswer.Released(result.handover)
-        is KeyGrantResult.OtherTarget, is KeyGrantResult.ConnectionRefused -> RelayAnswer.TargetGone(result.toString())
+        is KeyGrantResult.OtherTarget -> RelayAnswer.OtherTarget(result.target)
         else -> RelayAnswer.Unknown(result.toString())
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -129,10 +129,10 @@
         val handover: String?,
     ) : RelayAnswer
 
-    /** The target's process has ended. */
+    /** [target] answered at the address, so the process that was to release the keys has ended. */
     @Serializable
-    class TargetGone(
-        val reason: String,
+    class OtherTarget(
+        val target: String?,
     ) : RelayAnswer
 
     /** The receiver could not serve the call; the call had no effect on the store. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelaySameZoneRelease.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelaySameZoneRelease.kt
@@ -16,7 +16,7 @@
         for (relay in relaysIn(target.zone).shuffled().take(MAX_ROUTERS)) {
             when (val answer = client.send(relay, call, TIMEOUT_MS)) {
                 is RelayAnswer.Released -> return KeyGrantResult.Done(answer.handover)
-                is RelayAnswer.TargetGone -> return KeyGrantResult.ConnectionRefused(answer.reason)
+                is RelayAnswer.OtherTarget -> return KeyGrantResult.OtherTarget(answer.target)
                 else -> continue
             }
         }
