Check for a returned store while reading through other routers

Cause: waiting reads are not made directly while direct access counts as failed, and a router on a small host makes no other calls, so it never noticed that the store was back. It read through others for 48.9 s, until none of them could read for it. The log separates this from a missed append and from a silent connection: all late routers had relay_started without relay_ended, and their versions came at the end of runs of store_lost.

Change: a task calls the store every 0.7 s while it is unavailable.

FailoverStoreAccessTest "a router that only waits for records reads directly again when the store is back" fails without the task.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -182,6 +182,7 @@
             SupervisedTask("operators") { operatorsFollower.run() },
             SupervisedTask("targets") { targetsFollower.run() },
             SupervisedTask("records") { clusterStateFollower.run() },
+            SupervisedTask("store") { directStoreAccess.recheckWhileUnavailable() },
             SupervisedTask("member") {
                 announceMember()
                 awaitCancellation()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -66,6 +66,17 @@
 
     override suspend fun leave(member: String) = group.leave(member)
 
+    /**
+     * Calls the store from time to time while it is unavailable, until cancelled. Long-polling reads are not made directly in that state, so
+     * a router that makes no other calls would not notice that the store is back.
+     */
+    suspend fun recheckWhileUnavailable() {
+        while (true) {
+            timer.sleep(RECHECK_INTERVAL_MS)
+            if (!isAvailable) members()
+        }
+    }
+
     private suspend fun <T> measured(call: suspend () -> T): T {
         val startedAtMs = timer.nowMs()
         val result = call()
@@ -88,5 +99,8 @@
         /** Calls that take longer are slow; usual ones take a few milliseconds. */
         const val SLOW_CALL_MS = 60L
         const val SLOW_PERIOD_MS = 3_000L
+
+        /** Time between the calls that show whether the store is available again. */
+        const val RECHECK_INTERVAL_MS = 700L
     }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.DisplayName
@@ -59,7 +60,8 @@
                     ),
                 ),
             )
-        val access = FailoverStoreAccess(DirectStoreAccess(ownStore, ownStore, timer), client, { listOf(peer, otherPeer) }, timer, log)
+        val direct = DirectStoreAccess(ownStore, ownStore, timer)
+        val access = FailoverStoreAccess(direct, client, { listOf(peer, otherPeer) }, timer, log)
         val change = listOf(KeyedChange("k", "v".toByteArray()), KeyedChange("gone", null))
     }
 
@@ -77,6 +79,24 @@
         expectThat(fixture.log.count("relay_started")).isEqualTo(1)
     }
 
+    /**
+     * Guards against a router that goes on reading through others after the store is back, and keeps an old routing table when no other
+     * router can read for it.
+     */
+    @Test
+    fun `a router that only waits for records reads directly again when the store is back`() = runTest {
+        val fixture = Fixture(VirtualTimer(testScheduler))
+        backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+        fixture.ownStore.isDisconnected = true
+        repeat(2) { fixture.access.read(KeyedStream.OPERATORS, 0, 25_000) }
+        expectThat(fixture.log.count("relay_started")).isEqualTo(1)
+        fixture.ownStore.isDisconnected = false
+        fixture.peerStore.isDisconnected = true
+        testScheduler.advanceTimeBy(STORE_RETURN_NOTICED_MS)
+        expectThat(fixture.access.read(KeyedStream.OPERATORS, 0, 25_000)).isA<StreamReadResult.Read>()
+        expectThat(fixture.log.count("relay_ended")).isEqualTo(1)
+    }
+
     /** Guards against routers that multiply the calls to a store that is down for all of them. */
     @Test
     fun `fails if the store is unavailable to the other router as well`() = runTest {
@@ -172,4 +192,9 @@
             expectThat(release(target, KeyGrantResult.OtherTarget("t9"))).isEqualTo(KeyGrantResult.OtherTarget("t9"))
         }
     }
+
+    private companion object {
+        /** Time within which a router notices that the store is back: a configuration must be in force two seconds after its release. */
+        const val STORE_RETURN_NOTICED_MS = 1_500L
+    }
 }
