Read no more requests behind those in progress once a shutdown is announced

Cause: a read that was waiting when the shutdown was announced went on for the whole drain, so one request was taken at any time up to the cut.

Change: the announcement wakes the connections; one with responses in progress stops reading, and its last response announces the close. Once the listener is closed, a request whose deadline is later than the end of the drain is refused "not run".

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -147,6 +147,9 @@
     private var isStopping = false
     private var wasReady = false
 
+    /** When the requests in progress are cut off, or null before the listener for callers is closed. */
+    private var drainEndsAtMs: Long? = null
+
     /**
      * Runs until [stop] is complete and the graceful shutdown after it has ended. Must be called on a thread other than the event loop's,
      * which cannot wait for the ports to be bound.
@@ -268,6 +271,7 @@
             },
             recordKey = keyLoadTracker::recordRequest,
             meters = meters,
+            drainEndsAtMs = { drainEndsAtMs },
         )
         return RequestRouter(dependencies, settings.headers, timer, events)
     }
@@ -326,7 +330,9 @@
         callers.announceClose()
         scope.launch { planner.resign() }
         timer.sleep(settings.stopGraceMs * ROTATION_SHARE / SHARES)
-        callers.close(settings.stopGraceMs * DRAIN_SHARE / SHARES)
+        val drainMs = settings.stopGraceMs * DRAIN_SHARE / SHARES
+        drainEndsAtMs = timer.nowMs() + drainMs
+        callers.close(drainMs)
     }
 
     private companion object {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -25,6 +25,7 @@
  *
  * @property retryBudgetOf returns the retry budget of a service.
  * @property recordKey records that a request for a key of a service has arrived.
+ * @property drainEndsAtMs returns when this router cuts off the requests in progress, or null while it is not draining.
  */
 internal class RoutingDependencies(
     val operators: OperatorState,
@@ -34,6 +35,7 @@
     val retryBudgetOf: (String) -> RetryBudget,
     val recordKey: (String, Int) -> Unit,
     val meters: RouterMeters,
+    val drainEndsAtMs: () -> Long? = { null },
 )
 
 /**
@@ -85,11 +87,15 @@
         val callerTimeoutMs = request.headers[names.deadlineMs]?.toLongOrNull() ?: route.timeoutMs
         val deadlineAtMs = nowMs + minOf(callerTimeoutMs - RESPONSE_TRANSIT_MS, route.timeoutMs)
         val exchange = Exchange(id, request, route, serviceConfig, key.takeIf { serviceConfig.isKeyed }, table.version, nowMs, deadlineAtMs)
+        if (isPastDrain(deadlineAtMs)) return refuse(exchange, "the router is shutting down", OVERLOAD_RETRY_AFTER_MS)
         dependencies.retryBudgetOf(service).deposit(nowMs)
         if (exchange.key != null) dependencies.recordKey(service, exchange.key)
         return serve(exchange).also { recordMetrics(exchange, it) }
     }
 
+    /** Returns whether a request with this deadline may still be in progress when this router cuts it off. */
+    private fun isPastDrain(deadlineAtMs: Long): Boolean = dependencies.drainEndsAtMs()?.let { deadlineAtMs > it } ?: false
+
     private fun recordMetrics(exchange: Exchange, response: HttpResponse) {
         val outcome = when {
             response.headers[names.signature] == null ->
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -88,11 +88,13 @@
             { budget },
             { _, _ -> },
             RouterMeters("n", "a"),
+            { drainEndsAtMs },
         ),
         names,
         timer,
         log,
     )
+    private var drainEndsAtMs: Long? = null
     private var budget = RetryBudget(RetryBudgetSettings(share = 1.0, extraSends = 100.0, windowMs = 1_000)) { 1 }
 
     private fun served(status: Int = 200) =
@@ -146,6 +148,27 @@
         }
     }
 
+    @Nested
+    @DisplayName("while it drains")
+    inner class Draining {
+        /** Guards against a request that is taken late in a shutdown, runs, and is cut off without an answer. */
+        @Test
+        fun `refuses a request whose deadline is after the end of the drain`() = runTest {
+            drainEndsAtMs = timer.now + 1_000 + 500
+            val response = handleRequest("/book/1", deadlineMs = 900)
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers["Retry-After"]).isNotNull()
+            expectThat(sent).hasSize(0)
+        }
+
+        /** Guards against callers that are sent away although their request is certain to be complete in time. */
+        @Test
+        fun `serves a request whose deadline is before the end of the drain`() = runTest {
+            drainEndsAtMs = timer.now + 1_000 + 2_000
+            expectThat(handleRequest("/book/1", deadlineMs = 900).status).isEqualTo(200)
+        }
+    }
+
     @Nested
     @DisplayName("given a target that answers with an error and does not report that the request did not run")
     inner class UnmarkedFailure {
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/InboundEventQueue.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/InboundEventQueue.kt
@@ -47,8 +47,8 @@
         val cause: Throwable,
     ) : InboundEvent
 
-    /** The server is stopping. An idle connection is closed soon. */
-    data object Draining : InboundEvent
+    /** The server's shutdown has been announced, or has begun to close idle connections. */
+    data object ShutdownProgressed : InboundEvent
 
     private companion object {
         const val EVENT_OVERHEAD_BYTES = 256
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
@@ -49,17 +49,20 @@
 
     override fun announceClose() {
         closing = true
+        wakeConnections()
     }
 
     override suspend fun close(drainMs: Long) {
         closing = true
         draining = true
         listener.close().awaitFailure()
-        connections.values.forEach { it.offer(InboundEvent.Draining) }
+        wakeConnections()
         withTimeoutOrNull(drainMs) { connections.keys.toList().joinAll() }
         supervisor.cancelAndJoin()
     }
 
+    private fun wakeConnections() = connections.values.forEach { it.offer(InboundEvent.ShutdownProgressed) }
+
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val events = InboundEventQueue()
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
@@ -115,14 +115,19 @@
         }
     }
 
-    /** Waits for the first byte of a request. Returns false when the connection was idle for too long or is closed. */
+    /**
+     * Waits for the first byte of a request. Returns false when the connection was idle for too long or is closed. After the announcement of
+     * a shutdown it also returns false while responses are pending, the last of which announces the close: a caller resends what it has sent
+     * behind that one, but a request that is taken here may not be complete when the shutdown ends.
+     */
     private suspend fun awaitRequest(): Boolean {
         while (true) {
+            if (shutdown.isAnnounced() && pendingResponses > 0) return false
             // Callers that are about to send a request get a response with `Connection: close` instead of a closed connection.
             val waitMs = if (shutdown.isDraining()) DRAIN_IDLE_MS else limits.idleTimeoutMs
             val event = withTimeoutOrNull(waitMs) { events.receive() }
             when {
-                event == InboundEvent.Draining -> continue
+                event == InboundEvent.ShutdownProgressed -> continue
                 event != null -> return event == InboundEvent.Started
                 // A connection with pending responses is not idle.
                 pendingResponses == 0 || !channel.isActive -> return false
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpServerTest.kt
@@ -99,6 +99,26 @@
             }
         }
 
+        /** Guards against a request that is taken behind a long one late in a shutdown and cut off without a response at its end. */
+        @Test
+        fun `takes no request behind one in progress after the announcement`() {
+            val first = CompletableDeferred<Unit>()
+            start(HttpServerLimits(pipelineDepth = 4)) { request ->
+                first.await()
+                ECHO.handle(request)
+            }.use { caller ->
+                caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+                while (handled.isEmpty()) Thread.sleep(1)
+                server!!.announceClose()
+                caller.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+                Thread.sleep(PIPELINED_REQUESTS_READ_MS)
+                first.complete(Unit)
+                expectThat(caller.response().headers["connection"]).isEqualTo("close")
+                expectThat(caller.isClosedByServer()).isTrue()
+                expectThat(handled.toList()).containsExactly("/1")
+            }
+        }
+
         @Test
         fun `serves many pipelined requests that fill the event queue`() {
             val requests = 2_000
