See that a caller has left before its request is sent on

Cause: an event loop that is short of processor time sees a close only one turn after the request before it, and a turn could contain a second of tasks. The record fits: all routers in its alerts are hosts with 0.225 of a core, which did not answer their readiness checks for 2 s.

Change: callers' connections are read until nothing is left, and event loops look at the network at least every 100 ms of tasks. The event event_loop_delayed and a gauge show the delay.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -52,6 +52,7 @@
 import yuccaflow.entry.store.StreamFollower
 import yuccaflow.entry.store.StreamListener
 import yuccaflow.entry.telemetry.EventLog
+import yuccaflow.entry.telemetry.EventLoopMonitor
 import yuccaflow.entry.telemetry.Events
 import yuccaflow.entry.telemetry.RouterMeters
 import yuccaflow.http.HttpClient
@@ -141,6 +142,7 @@
         PlannerElection(settings.node, incarnationId, electionDependencies(), clusterState, timer, keyOwnershipSettings, events)
     private val keyLoadTracker = KeyLoadTracker(timer)
     private val meters = RouterMeters(settings.node, settings.zone)
+    private val eventLoopMonitor = EventLoopMonitor(timer, events)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private val planner = keyPlanner()
     private val startedAtMs = timer.nowMs()
@@ -186,6 +188,7 @@
             SupervisedTask("targets") { targetsFollower.run() },
             SupervisedTask("records") { clusterStateFollower.run() },
             SupervisedTask("store") { directStoreAccess.recheckWhileUnavailable() },
+            SupervisedTask("event-loop") { eventLoopMonitor.run() },
             SupervisedTask("member") {
                 announceMember()
                 awaitCancellation()
@@ -298,6 +301,7 @@
         meters.gauge("yuccaflow.config.version") { operators.table?.version ?: 0 }
         meters.gauge("yuccaflow.routers") { clusterState.memberCount }
         meters.gauge("yuccaflow.planner") { if (authority.isRecordedPlanner) 1 else 0 }
+        meters.gauge("yuccaflow.event.loop.delay.seconds") { eventLoopMonitor.delayMs / MS_PER_S }
         meters.gauge("yuccaflow.store.unreachable") { if (directStoreAccess.isAvailable) 0 else 1 }
     }
 
@@ -336,6 +340,7 @@
     }
 
     private companion object {
+        const val MS_PER_S = 1_000.0
         const val OK = 200
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -8,6 +8,7 @@
     const val STOPPED = "stopped"
     const val RELOADED = "reloaded"
     const val PART_FAILED = "part_failed"
+    const val EVENT_LOOP_DELAYED = "event_loop_delayed"
 
     const val STORE_LOST = "store_lost"
     const val STORE_REGAINED = "store_regained"
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
@@ -2,14 +2,19 @@
 
 import io.netty.channel.ChannelFuture
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.IoEventLoop
+import io.netty.channel.IoHandlerFactory
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.SingleThreadIoEventLoop
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
+import io.netty.util.concurrent.RejectedExecutionHandlers
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.util.concurrent.Executor
 import kotlin.coroutines.resume
 
 /** The event loops shared by all servers and clients of the process. Their threads are daemon threads. */
@@ -20,9 +25,7 @@
     @Volatile
     private var threads = Runtime.getRuntime().availableProcessors().coerceIn(1, MAX_THREADS)
 
-    val group: EventLoopGroup by lazy {
-        MultiThreadIoEventLoopGroup(threads, DefaultThreadFactory("yuccaflow-http", true), NioIoHandler.newFactory())
-    }
+    val group: EventLoopGroup by lazy { newEventLoops(threads) }
 
     fun useOneThread(): CoroutineDispatcher {
         threads = 1
@@ -30,6 +33,16 @@
     }
 }
 
+/** Creates event loops that go back to the network often while many tasks are due, so that a close by a peer is seen before work for it. */
+internal fun newEventLoops(threads: Int): EventLoopGroup =
+    object : MultiThreadIoEventLoopGroup(threads, DefaultThreadFactory("yuccaflow-http", true), NioIoHandler.newFactory()) {
+        override fun newChild(executor: Executor, ioHandlerFactory: IoHandlerFactory, vararg args: Any): IoEventLoop =
+            SingleThreadIoEventLoop(this, executor, ioHandlerFactory, Int.MAX_VALUE, RejectedExecutionHandlers.reject(), TASK_QUANTUM_MS)
+    }
+
+/** Time for which an event loop runs tasks before it looks at the network again. Netty checks it after every 64 tasks. */
+private const val TASK_QUANTUM_MS = 100L
+
 /**
  * Makes all servers and clients of the process use a single event loop and returns it as a dispatcher. Coroutines on this dispatcher
  * receive network events without a thread switch, which saves most of the CPU time of a small request on a host with one core.
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
@@ -1,8 +1,11 @@
 package yuccaflow.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
@@ -17,12 +20,16 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 
-/** [HttpServer] on Netty's NIO transport. Each connection is served by a coroutine, a child of the server's supervisor job. */
+/**
+ * [HttpServer] on Netty's NIO transport. Each connection is served by a coroutine, a child of the server's supervisor job. The connections
+ * are read by the event loops of [group].
+ */
 internal class NettyHttpServer(
     listen: SocketAddress,
     dispatcher: CoroutineDispatcher,
     private val limitsSource: () -> HttpServerLimits,
     private val handler: HttpHandler,
+    group: EventLoopGroup = EventLoops.group,
 ) : HttpServer {
     private val supervisor = SupervisorJob()
     private val scope = CoroutineScope(supervisor + dispatcher)
@@ -35,11 +42,12 @@
     private var draining = false
 
     private val listener = ServerBootstrap()
-        .group(EventLoops.group)
+        .group(group)
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, READ_UNTIL_EMPTY)
         .childHandler(ConnectionInitializer())
         .bind(listen.toInet())
         .syncUninterruptibly()
@@ -82,5 +90,13 @@
 
     private companion object {
         const val BACKLOG = 1_024
+        const val MAX_READS_IN_A_ROW = 16
+
+        /**
+         * Reads until nothing is left, so that a close behind a request is seen before the request is handled. Otherwise a busy event loop
+         * would see it only after it has handled the requests of all other connections.
+         */
+        val READ_UNTIL_EMPTY: RecvByteBufAllocator =
+            AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_IN_A_ROW)
     }
 }
