--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/BodyMemoryTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/BodyMemoryTest.kt
@@ -140,6 +140,7 @@
 
     private companion object {
         const val LIMIT_BYTES = 400_000L
+
         /** Less than half of the limit, so that one fits beside a few small ones, but not two. */
         const val LARGE_BYTES = 180_000
         const val SMALL_BYTES = 1_000
