--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/BodyMemory.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/BodyMemory.kt
@@ -30,6 +30,7 @@
         used.addAndGet(bytes)
     }
 
+    /** Gives up [bytes] that were counted. */
     fun release(bytes: Long) {
         used.addAndGet(-bytes)
     }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -31,7 +31,10 @@
     /** The address that the server listens on, with the actual port when port 0 was requested. */
     val address: SocketAddress
 
-    /** Makes responses carry `Connection: close`, so that no request follows on the connection. New connections are still accepted. */
+    /**
+     * Makes the last response on each connection carry `Connection: close`, so that no request follows on it. New connections are still
+     * accepted. A connection with requests in progress takes no more of them.
+     */
     fun announceClose()
 
     /** Stops accepting connections, waits up to [drainMs] for running requests to finish, then closes all connections. */
@@ -44,7 +47,8 @@
 /**
  * Starts a server on [listen], whose host is an IP address. With port 0 the system chooses a free port.
  *
- * Invalid requests are refused with status 400, 413, 414, 417 or 431, and slow ones with 408; their connections are closed.
+ * Invalid requests are refused with status 400, 413, 414, 417 or 431, slow ones with 408, and those for whose bodies the process has no
+ * memory with 503; their connections are closed.
  * @throws java.io.IOException when the address cannot be bound.
  */
 fun httpServer(listen: SocketAddress, limits: HttpServerLimits, handler: HttpHandler): HttpServer =
