Read the operators' records once more after a long wait for them has begun

Cause: a wait that begins while a record is being appended does not get it and ends up to 25 s later. After a release, all routers begin such a wait 0.77 s later, and the releases that were missed came 0.77 s after another one (versions 99 and 103, 70 and 72); the routers that missed them applied them together with the next version.

StreamFollowerTest.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.store
 
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
@@ -24,6 +25,8 @@
  * @property waitMs the longest wait for records in one long-polling read. Each call costs money, even if it returns no records.
  * @property catchUpWaitMs the longest wait of the first read after a snapshot or after records. A read that arrives while an append is
  * being executed may miss the appended records until its wait ends, and appends often come in groups.
+ * @property recheckAfterMs time after the start of a longer wait at which the stream is read again without a wait, because the wait misses
+ * an append that was being executed when it began; null if a missed record may be read late.
  * @property batchDelayMs delay after records have arrived, so that one call can return several that follow.
  * @property initialBackoffMs delay after the first failed call. It doubles with each further failure up to [maxBackoffMs], plus jitter.
  * @property minRefreshIntervalMs the shortest time between two waits that are ended by [StreamFollower.refresh].
@@ -31,6 +34,7 @@
 internal data class FollowerSettings(
     val waitMs: Long = 25_000,
     val catchUpWaitMs: Long = 700,
+    val recheckAfterMs: Long? = null,
     val batchDelayMs: Long = 50,
     val initialBackoffMs: Long = 150,
     val maxBackoffMs: Long = 1_000,
@@ -122,15 +126,30 @@
 
     private suspend fun readOrRefresh(from: Long, waitMs: Long): StreamReadResult = coroutineScope {
         val call = async { store.read(stream, from, waitMs) }
+        val recheck = async { readMissed(from, waitMs) }
         select {
             call.onAwait { it }
+            recheck.onAwait { it }
             refreshRequests.onReceive {
                 call.cancel()
                 store.read(stream, from, 0)
             }
+        }.also {
+            call.cancel()
+            recheck.cancel()
         }
     }
 
+    /** Returns what a wait from [from] on that has just begun has missed. Suspends until cancelled if it has missed nothing. */
+    private suspend fun readMissed(from: Long, waitMs: Long): StreamReadResult {
+        val recheckAfterMs = settings().recheckAfterMs
+        if (recheckAfterMs == null || waitMs <= recheckAfterMs) awaitCancellation()
+        timer.sleep(recheckAfterMs)
+        val result = store.read(stream, from, 0)
+        val hasMissed = result is StreamReadResult.Read && result.records.isNotEmpty()
+        return if (hasMissed) result else awaitCancellation()
+    }
+
     private fun onAnswered(startedAtMs: Long, isAtEnd: Boolean) {
         if (isAtEnd) confirmedAtMs = startedAtMs
         if (consecutiveFailures == 0) return
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
@@ -22,7 +22,7 @@
 @DisplayName("A stream follower")
 class StreamFollowerTest {
     private class ScriptedStore(
-        private val answers: List<StreamReadResult>,
+        private val answers: List<StreamReadResult?>,
     ) : KeyedStore {
         val reads = ArrayList<Pair<Long, Long>>()
         var snapshots = 0
@@ -56,9 +56,9 @@
     private val listener = RecordingListener()
     private val log = RecordingEventLog()
 
-    private fun follow(store: KeyedStore, forMs: Long = 5_000): StreamFollower {
+    private fun follow(store: KeyedStore, forMs: Long = 5_000, settings: FollowerSettings = FollowerSettings()): StreamFollower {
         val scheduler = TestCoroutineScheduler()
-        val follower = StreamFollower(store, KeyedStream.ROUTERS, VirtualTimer(scheduler), log, listener) { FollowerSettings() }
+        val follower = StreamFollower(store, KeyedStream.ROUTERS, VirtualTimer(scheduler), log, listener) { settings }
         runTest(scheduler) {
             val job = launch { follower.run() }
             testScheduler.advanceTimeBy(forMs)
@@ -86,6 +86,23 @@
         expectThat(settings.catchUpWaitMs).isLessThanOrEqualTo(1_000)
     }
 
+    /** Guards against a routing table that comes into force up to 25 s late, because it was being appended when the wait for it began. */
+    @Test
+    fun `reads a record within two seconds that its wait has missed`() {
+        val store = ScriptedStore(listOf(StreamReadResult.Read(emptyList(), 4), null, StreamReadResult.Read(listOf(record("a", 4)), 5)))
+        follow(store, forMs = 2_000, FollowerSettings(recheckAfterMs = RECHECK_MS))
+        expectThat(listener.offsets).containsExactly(3L, 4L)
+    }
+
+    /** Guards against calls that are charged although nothing was missed. */
+    @Test
+    fun `rechecks a wait only once`() {
+        val empty = StreamReadResult.Read(emptyList(), 4)
+        val store = ScriptedStore(listOf(empty, null, empty))
+        follow(store, settings = FollowerSettings(recheckAfterMs = RECHECK_MS))
+        expectThat(store.reads.map { it.second }).containsExactly(FollowerSettings().catchUpWaitMs, FollowerSettings().waitMs, 0L)
+    }
+
     /** Guards against a planner that stays active although a record that it has not read yet names another planner. */
     @Test
     fun `counts only a read that reached the end of the stream as a confirmation`() {
@@ -112,6 +129,8 @@
     }
 
     private companion object {
+        const val RECHECK_MS = 400L
+
         fun record(key: String, offset: Long) = KeyedRecord(key, "v".toByteArray(), offset)
     }
 }
