Take back the shorter grants and the longer authority

After a change of planner the keys of a leaving target have no usable owner from 1.2 s on until the former authority ends, which an authority of 6 s put at 6.3 s, beyond the 5 s of the test's requests. Shorter grants alone do not keep all keys through an outage of the store of seven seconds (ExclusiveOwnershipTest; tried with 4.2 s and 5 s). So both are back at 5 s, and keys of a crashed target wait for up to 5.3 s.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -26,14 +26,14 @@
  * @property timingMarginMs margin that is added to time limits which another process observes.
  */
 internal data class KeyOwnershipSettings(
-    val grantDurationMs: Long = 3_500,
+    val grantDurationMs: Long = 5_000,
     val minRenewIntervalMs: Long = 800,
-    val maxRenewIntervalMs: Long = 1_700,
+    val maxRenewIntervalMs: Long = 2_000,
     val retryDelayMs: Long = 150,
     val refusedRetryDelayMs: Long = 1_000,
     val grantTimeoutMs: Long = 400,
     val releaseTimeoutMs: Long = 1_200,
-    val authorityMs: Long = 6_000,
+    val authorityMs: Long = 5_000,
     val authorityReadWaitMs: Long = 1_000,
     val memberTtlMs: Long = 1_800,
     val joinIntervalMs: Long = 550,
