Read the change once more: one vocabulary for reserved memory, one way to end with an event loop

- BodyMemory, BodyAccount and BodyBuffer say reserve and release throughout; hold, drop, give up and count meant the same.
- A request that cannot be read says itself whether it may be sent again; the connection does not look for status 503.
- RoutingDependencies has no default that only hid a missing argument.

No behaviour is meant to change.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -35,7 +35,7 @@
     val retryBudgetOf: (String) -> RetryBudget,
     val recordKey: (String, Int) -> Unit,
     val meters: RouterMeters,
-    val drainEndsAtMs: () -> Long? = { null },
+    val drainEndsAtMs: () -> Long?,
 )
 
 /**
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/BodyMemory.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/BodyMemory.kt
@@ -13,10 +13,9 @@
 ) {
     private val used = AtomicLong()
 
-    /** The bytes that are counted now. */
     val usedBytes: Long get() = used.get()
 
-    /** Counts [bytes] more for a body of which [bodyBytes] are held already. Returns false, and counts nothing, if it may not grow. */
+    /** Reserves [bytes] more for a body that has [bodyBytes] already. Returns false, and reserves nothing, if it may not grow. */
     fun tryReserve(bodyBytes: Long, bytes: Long): Boolean {
         while (true) {
             val usedBefore = usedBytes
@@ -25,12 +24,12 @@
         }
     }
 
-    /** Counts [bytes] that are held already. */
+    /** Reserves [bytes] for a body that exists already, and so cannot be refused. */
     fun reserve(bytes: Long) {
         used.addAndGet(bytes)
     }
 
-    /** Gives up [bytes] that were counted. */
+    /** Releases [bytes] that were reserved. */
     fun release(bytes: Long) {
         used.addAndGet(-bytes)
     }
@@ -44,36 +43,36 @@
     }
 }
 
-/** The bytes of bodies that one connection holds in [memory]. */
+/** The part of [memory] that the bodies of one connection take. */
 internal class BodyAccount(
     private val memory: BodyMemory,
 ) {
-    private val heldBytes = AtomicLong()
+    private val reservedBytes = AtomicLong()
 
-    /** Holds [bytes] more of a body of which [bodyBytes] are held already. Returns false if the body may not grow. */
-    fun tryHold(bodyBytes: Long, bytes: Int): Boolean {
-        val isReserved = memory.tryReserve(bodyBytes, bytes.toLong())
-        if (isReserved) heldBytes.addAndGet(bytes.toLong())
+    /** Like [BodyMemory.tryReserve]. */
+    fun tryReserve(bodyBytes: Int, bytes: Int): Boolean {
+        val isReserved = memory.tryReserve(bodyBytes.toLong(), bytes.toLong())
+        if (isReserved) reservedBytes.addAndGet(bytes.toLong())
         return isReserved
     }
 
-    /** Holds a body of [bytes] that exists already. */
-    fun hold(bytes: Int) {
+    /** Like [BodyMemory.reserve]. */
+    fun reserve(bytes: Int) {
         memory.reserve(bytes.toLong())
-        heldBytes.addAndGet(bytes.toLong())
+        reservedBytes.addAndGet(bytes.toLong())
     }
 
-    /** Gives up [bytes], once a body is not needed any more. */
-    fun drop(bytes: Int) {
-        heldBytes.addAndGet(-bytes.toLong())
+    /** Like [BodyMemory.release]. */
+    fun release(bytes: Int) {
+        reservedBytes.addAndGet(-bytes.toLong())
         memory.release(bytes.toLong())
     }
 
-    /** Gives up everything, when the connection has ended. */
-    fun dropAll() = memory.release(heldBytes.getAndSet(0))
+    /** Releases everything that is still reserved, because the connection has ended. */
+    fun releaseAll() = memory.release(reservedBytes.getAndSet(0))
 }
 
-/** Collects the parts of a body of at most [limitBytes], which [account] holds until it gives them up. */
+/** Collects the parts of a body of at most [limitBytes] and reserves memory for them in [account]. */
 internal class BodyBuffer(
     private val account: BodyAccount,
     private val limitBytes: Int,
@@ -85,20 +84,20 @@
 
     fun append(part: ByteArray): AppendResult {
         if (part.size > limitBytes - sizeBytes) return AppendResult.OVER_LIMIT
-        if (!account.tryHold(sizeBytes.toLong(), part.size)) return AppendResult.NO_MEMORY
+        if (!account.tryReserve(sizeBytes, part.size)) return AppendResult.NO_MEMORY
         parts += part
         sizeBytes += part.size
         return AppendResult.APPENDED
     }
 
-    /** Gives up the parts, because the body is not wanted any more. */
+    /** Drops the parts and releases their memory. */
     fun discard() {
         parts.clear()
-        account.drop(sizeBytes)
+        account.release(sizeBytes)
         sizeBytes = 0
     }
 
-    /** Returns the whole body. Must be the last call. */
+    /** Returns the whole body, for which memory stays reserved. Must be the last call. */
     fun join(): ByteArray {
         if (parts.size == 1) return parts.single()
         val body = ByteArray(sizeBytes)
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -112,7 +112,7 @@
     suspend fun read(method: String, expectedRequestId: String?): ResponseRead = try {
         readMatching(method, expectedRequestId)
     } finally {
-        account.dropAll()
+        account.releaseAll()
     }
 
     private suspend fun readMatching(method: String, expectedRequestId: String?): ResponseRead {
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
@@ -63,10 +63,13 @@
 fun useSingleEventLoop(): CoroutineDispatcher = EventLoops.useOneThread()
 
 /**
- * Calls [action] when one of the event loops of this process has ended, which happens only when its thread fails. Its connections are then
- * served by nobody, so the process should end and be started again.
+ * Ends the process with [status] when one of its event loops has ended, which happens only when a thread fails. The connections of that
+ * loop would be served by nobody, so the process must be started again.
  */
-fun onEventLoopEnd(action: () -> Unit) = EventLoops.group.onLoopEnd(action)
+fun haltOnEventLoopEnd(status: Int) = EventLoops.group.onLoopEnd {
+    System.err.println("an event loop has ended; the process cannot serve any more")
+    Runtime.getRuntime().halt(status)
+}
 
 internal fun EventLoopGroup.onLoopEnd(action: () -> Unit) = forEach { loop -> loop.terminationFuture().addListener { action() } }
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/RequestReader.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/RequestReader.kt
@@ -15,11 +15,12 @@
         val keepAlive: Boolean,
     ) : RequestRead
 
-    /** The request must be refused and the connection closed. */
+    /** The request must be refused and the connection closed. If it [isTemporary], the caller may send the request again. */
     class Rejected(
         val status: Int,
         val error: String,
         val reason: String,
+        val isTemporary: Boolean = false,
     ) : RequestRead
 
     /** The caller closed the connection. */
@@ -27,8 +28,8 @@
 }
 
 /**
- * Reads and validates one request after its first byte has arrived. [account] holds its body. [continueBody] sends the interim response 100
- * (Continue).
+ * Reads and validates one request after its first byte has arrived. Memory for its body is reserved in [account]. [continueBody] sends
+ * the interim response 100 (Continue).
  */
 internal class RequestReader(
     private val events: InboundEventQueue,
@@ -109,7 +110,12 @@
         const val HEADERS_TOO_LARGE = 431
         const val UNAVAILABLE = 503
 
-        val NO_MEMORY = RequestRead.Rejected(UNAVAILABLE, "overloaded", "the bodies of all requests take too much memory")
+        val NO_MEMORY = RequestRead.Rejected(
+            UNAVAILABLE,
+            "overloaded",
+            "the bodies of all requests take too much memory",
+            isTemporary = true,
+        )
         val TOO_LARGE = RequestRead.Rejected(BODY_TOO_LARGE, "body too large", "the body is over the limit")
         val ABSOLUTE_FORM = Regex("https?://[^/?#]+", RegexOption.IGNORE_CASE)
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
@@ -63,7 +63,7 @@
             }
         } finally {
             channel.close()
-            account.dropAll()
+            account.releaseAll()
         }
     }
 
@@ -88,7 +88,7 @@
                 RequestRead.Disconnected -> return null
                 is RequestRead.Rejected -> {
                     val refusal = refusal(read.status, read.error, read.reason, NOT_RUN, reader.requestId, limits.requestIdHeader)
-                    return if (read.status == UNAVAILABLE) refusal.retryLater() else refusal
+                    return if (read.isTemporary) refusal.retryLater() else refusal
                 }
                 is RequestRead.Complete -> {
                     // Callers resend all requests that follow a response that closes the connection.
@@ -114,7 +114,7 @@
             val isLast = !exchange.read.keepAlive || (shutdown.isAnnounced() && pendingResponses == 0)
             if (isLast) isClosing = true
             val written = send(exchange.read.request, response, !isLast)
-            account.drop(response.body.size)
+            account.release(response.body.size)
             if (isLast && written) closeGracefully()
             if (isLast || !written) channel.close()
             pipelineSlots.release()
@@ -141,11 +141,11 @@
         }
     }
 
-    /** Handles [request] and gives up its body. The body of the response is held until it has been sent. */
+    /** Handles [request] and releases the memory of its body. That of the response is reserved until it has been sent. */
     private suspend fun handle(request: HttpRequest): HttpResponse = try {
-        respond(request).also { account.hold(it.body.size) }
+        respond(request).also { account.reserve(it.body.size) }
     } finally {
-        account.drop(request.body.size)
+        account.release(request.body.size)
     }
 
     private suspend fun respond(request: HttpRequest): HttpResponse = try {
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/BodyMemoryTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/BodyMemoryTest.kt
@@ -62,7 +62,7 @@
 
         /** Guards against memory that stays counted for bodies whose callers have left, until every request is refused. */
         @Test
-        fun `is given up when a caller leaves within a body`() {
+        fun `is released when a caller leaves within a body`() {
             repeat(ROUNDS) {
                 upload(LARGE_BYTES, LARGE_BYTES - 1).use { awaitUsed(LARGE_BYTES - 1L) }
                 awaitUsed(0)
@@ -71,7 +71,7 @@
         }
 
         private fun awaitUsed(bytes: Long) {
-            while (usedBytes() != bytes) Thread.sleep(1)
+            while (memory.usedBytes != bytes) Thread.sleep(1)
         }
     }
 
@@ -107,13 +107,13 @@
                 repeat(ROUNDS) { expectThat(bodyOf(ask())).isEqualTo("small") }
                 endless.forEach { expectThat(it.await()).isA<HttpResult.Unknown>() }
             }
-            expectThat(usedBytes()).isEqualTo(0)
+            expectThat(memory.usedBytes).isEqualTo(0)
         }
     }
 
     /** Guards against a count that drifts, so that memory is exceeded or every body is refused. */
     @Test
-    fun `never exceeds its limit and is free again when all bodies are given up`() {
+    fun `never exceeds its limit and is free again when all bodies are released`() {
         val random = Random(1)
         repeat(ROUNDS) {
             val accounts = List(8) { BodyAccount(memory) }
@@ -121,13 +121,13 @@
             repeat(500) {
                 val index = random.nextInt(accounts.size)
                 val part = random.nextInt(SMALL_BYTES)
-                if (accounts[index].tryHold(sizes[index], part)) sizes[index] += part.toLong()
-                expectThat(usedBytes()).isLessThanOrEqualTo(LIMIT_BYTES).isEqualTo(sizes.sum())
+                if (accounts[index].tryReserve(sizes[index].toInt(), part)) sizes[index] += part.toLong()
+                expectThat(memory.usedBytes).isLessThanOrEqualTo(LIMIT_BYTES).isEqualTo(sizes.sum())
             }
             // The bodies that were refused leave room for small ones.
-            expectThat(LIMIT_BYTES - usedBytes()).isGreaterThanOrEqualTo(LIMIT_BYTES / (2 * accounts.size))
-            accounts.forEach { it.dropAll() }
-            expectThat(usedBytes()).isEqualTo(0)
+            expectThat(LIMIT_BYTES - memory.usedBytes).isGreaterThanOrEqualTo(LIMIT_BYTES / (2 * accounts.size))
+            accounts.forEach { it.releaseAll() }
+            expectThat(memory.usedBytes).isEqualTo(0)
         }
     }
 
@@ -136,8 +136,6 @@
         expectThat(memory.tryReserve(0, LIMIT_BYTES / 2)).isTrue()
     }
 
-    private fun usedBytes(): Long = memory.usedBytes
-
     private companion object {
         const val LIMIT_BYTES = 400_000L
 
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/Main.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/Main.kt
@@ -10,7 +10,7 @@
 import org.tinylog.provider.ProviderRegistry
 import sun.misc.Signal
 import yuccaflow.base.configureLogging
-import yuccaflow.http.onEventLoopEnd
+import yuccaflow.http.haltOnEventLoopEnd
 import yuccaflow.router.settings.RouterSettings
 import yuccaflow.router.settings.SettingsResult
 import yuccaflow.router.settings.loadSettings
@@ -46,10 +46,7 @@
 
 private fun run(settings: RouterSettings): Int {
     configureLogging(settings.logLevel)
-    onEventLoopEnd {
-        System.err.println("yuccaflowd: an event loop has ended; the process cannot serve any more")
-        Runtime.getRuntime().halt(STATUS_FAILED)
-    }
+    haltOnEventLoopEnd(STATUS_FAILED)
     val stop = CompletableDeferred<Unit>()
     listOf("TERM", "INT").forEach { name -> Signal.handle(Signal(name)) { stop.complete(Unit) } }
     return try {
