Log how old news can be, slow calls to the store and requests that wait after the choice of their target

The log had the time of a read only, so it could not tell a late read from a late send, nor a miss from a slow call. No decision changes.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -118,7 +118,7 @@
     private val scope = CoroutineScope(supervisor + dispatcher)
     private val keyOwnershipSettings = KeyOwnershipSettings()
     private val incarnationId = UUID.randomUUID().toString()
-    private val directStoreAccess = DirectStoreAccess(platform.store, platform.group, timer)
+    private val directStoreAccess = DirectStoreAccess(platform.store, platform.group, timer, events)
     private val relayClient = RelayClient(platform.relayClient)
     private val storeAccess = FailoverStoreAccess(directStoreAccess, relayClient, ::relayAddresses, timer, events)
     private val operators = OperatorState(platform.decoder, timer, events)
@@ -306,8 +306,14 @@
         meters.gauge("yuccaflow.planner") { if (authority.isRecordedPlanner) 1 else 0 }
         meters.gauge("yuccaflow.event.loop.delay.seconds") { eventLoopMonitor.delayMs / MS_PER_S }
         meters.gauge("yuccaflow.store.unreachable") { if (directStoreAccess.isAvailable) 0 else 1 }
+        listOf(operatorsFollower, targetsFollower, clusterStateFollower).forEach { follower ->
+            meters.gauge("yuccaflow.stream.age.seconds", "stream", follower.stream.name.lowercase()) { ageOf(follower) }
+        }
     }
 
+    /** Returns for how many seconds [follower] has not known whether its stream has new records. */
+    private fun ageOf(follower: StreamFollower): Double = follower.confirmedAtMs?.let { (timer.nowMs() - it) / MS_PER_S } ?: Double.NaN
+
     private fun metricsResponse(path: String): HttpResponse {
         if (path != METRICS_PATH) return HttpResponse(NOT_FOUND)
         return HttpResponse(OK, headersOf("Content-Type" to "text/plain; version=0.0.4"), meters.scrape().toByteArray())
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
@@ -36,21 +36,21 @@
     /** When this router read that [zone] was last returned to service, or null if it never was. */
     fun returnedAtMs(zone: String): Long? = returnedAtMsByZone[zone]
 
-    override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long) {
-        val zonesInSnapshot = records.mapNotNull { applyRecord(it) }.toSet()
+    override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
+        val zonesInSnapshot = records.mapNotNull { applyRecord(it, writtenAfterMs) }.toSet()
         emptiedAtMsByZone.keys.filter { it !in zonesInSnapshot }.forEach(::returnZone)
     }
 
-    override fun onRecords(records: List<KeyedRecord>, endOffset: Long) {
-        records.forEach { applyRecord(it) }
+    override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
+        records.forEach { applyRecord(it, writtenAfterMs) }
     }
 
     /** Applies one record. Returns the zone that it empties or returns to service, if any. */
-    private fun applyRecord(record: KeyedRecord): String? {
+    private fun applyRecord(record: KeyedRecord, writtenAfterMs: Long?): String? {
         when (val decoded = decoder.decodeOperatorRecord(record.key, record.value)) {
-            is OperatorRecord.Table -> applyTable(decoded.table)
+            is OperatorRecord.Table -> applyTable(decoded.table, writtenAfterMs)
             is OperatorRecord.EmptiedZone -> {
-                if (record.value == null) returnZone(decoded.zone) else emptyZone(decoded.zone, record.offset)
+                if (record.value == null) returnZone(decoded.zone) else emptyZone(decoded.zone, record.offset, writtenAfterMs)
                 return decoded.zone
             }
             is OperatorRecord.Rejected -> events.log(Events.CONFIG_REJECTED) {
@@ -63,7 +63,7 @@
         return null
     }
 
-    private fun applyTable(candidate: RoutingTable) {
+    private fun applyTable(candidate: RoutingTable, writtenAfterMs: Long?) {
         val currentVersion = table?.version
         if (currentVersion != null && candidate.version <= currentVersion) return
         table = candidate
@@ -72,15 +72,17 @@
             put("previous_version", currentVersion)
             put("routes", candidate.routes.size)
             put("services", candidate.services.size)
+            put("written_within_ms", writtenAfterMs?.let { timer.nowMs() - it })
         }
     }
 
-    private fun emptyZone(zone: String, offset: Long) {
+    private fun emptyZone(zone: String, offset: Long, writtenAfterMs: Long?) {
         if (zone in emptiedAtMsByZone) return
         emptiedAtMsByZone = emptiedAtMsByZone.put(zone, timer.nowMs())
         events.log(Events.ZONE_EMPTIED) {
             put("emptied_zone", zone)
             put("offset", offset)
+            put("written_within_ms", writtenAfterMs?.let { timer.nowMs() - it })
         }
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -42,18 +42,19 @@
     /** Returns whether no target is known. */
     fun isEmpty(): Boolean = states.isEmpty()
 
-    override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long) {
+    override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
         val present = records.filter { it.value != null }.map { it.key }.toSet()
-        records.forEach(::applyRecord)
-        states.keys.filter { it !in present }.forEach(::markRemoved)
+        records.forEach { applyRecord(it, writtenAfterMs) }
+        states.keys.filter { it !in present }.forEach { markRemoved(it, writtenAfterMs) }
     }
 
-    override fun onRecords(records: List<KeyedRecord>, endOffset: Long) = records.forEach(::applyRecord)
+    override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) =
+        records.forEach { applyRecord(it, writtenAfterMs) }
 
-    private fun applyRecord(record: KeyedRecord) {
-        val value = record.value ?: return markRemoved(record.key)
+    private fun applyRecord(record: KeyedRecord, writtenAfterMs: Long?) {
+        val value = record.value ?: return markRemoved(record.key, writtenAfterMs)
         when (val decoded = decoder.decodeTargetRecord(record.key, value)) {
-            is TargetRecord.Valid -> update(decoded.entry)
+            is TargetRecord.Valid -> update(decoded.entry, writtenAfterMs)
             // An earlier entry of the key may have been valid, but it is out of date now.
             is TargetRecord.Rejected -> {
                 events.log(Events.TARGET_REJECTED) {
@@ -61,12 +62,12 @@
                     put("offset", record.offset)
                     put("reason", decoded.reason)
                 }
-                markRemoved(record.key)
+                markRemoved(record.key, writtenAfterMs)
             }
         }
     }
 
-    private fun update(entry: TargetEntry) {
+    private fun update(entry: TargetEntry, writtenAfterMs: Long?) {
         val nowMs = timer.nowMs()
         val known = states[entry.id]
         if (known == null || !known.entry.isSameIncarnation(entry)) {
@@ -75,7 +76,12 @@
             logSeen(entry, known)
             return
         }
-        if (entry.isDraining && !known.entry.isDraining) events.log(Events.TARGET_DRAINING) { put("target", entry.id) }
+        if (entry.isDraining && !known.entry.isDraining) {
+            events.log(Events.TARGET_DRAINING) {
+                put("target", entry.id)
+                put("written_within_ms", writtenAfterMs?.let { nowMs - it })
+            }
+        }
         known.update(entry, nowMs)
     }
 
@@ -90,7 +96,7 @@
         put("draining", entry.isDraining)
     }
 
-    private fun markRemoved(id: String) {
+    private fun markRemoved(id: String, writtenAfterMs: Long?) {
         val state = states[id] ?: return
         if (state.entryRemovedAtMs != null) return
         val nowMs = timer.nowMs()
@@ -99,6 +105,7 @@
             put("target", id)
             put("service", state.entry.service)
             put("kept_for_ms", if (mayBeDueToOutage(nowMs)) REMOVAL_GRACE_MS else 0L)
+            put("written_within_ms", writtenAfterMs?.let { nowMs - it })
         }
         if (!mayBeDueToOutage(nowMs)) remove(id, state)
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -111,7 +111,7 @@
     /** Returns when this router read the current record of the range of [assignment], or null. */
     fun readAtMs(assignment: Assignment): Long? = changedAtMs[assignment.service to assignment.from]
 
-    override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long) {
+    override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
         ranges.clear()
         members.clear()
         planner = null
@@ -121,7 +121,7 @@
         notifyListeners()
     }
 
-    override fun onRecords(records: List<KeyedRecord>, endOffset: Long) {
+    override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
         records.forEach(::applyRecord)
         recentRecords += records
         while (recentRecords.size > MAX_RECENT_RECORDS) recentRecords.removeFirst()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -13,12 +13,15 @@
 import yuccaflow.entry.store.RouterGroup
 import yuccaflow.entry.store.SnapshotResult
 import yuccaflow.entry.store.StreamReadResult
+import yuccaflow.entry.telemetry.EventLog
+import yuccaflow.entry.telemetry.Events
 
 /** Calls the store and the router group directly, and tracks whether they are available to this router and fast. */
 internal class DirectStoreAccess(
     private val store: KeyedStore,
     private val group: RouterGroup,
     private val timer: TimerService,
+    private val events: EventLog,
 ) : KeyedStore,
     RouterGroup {
     private var callFailed = CompletableDeferred<Unit>()
@@ -39,11 +42,11 @@
     val isSlow: Boolean get() = slowAtMs?.let { timer.nowMs() - it < SLOW_PERIOD_MS } ?: false
 
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult =
-        measured { store.snapshot(stream) }.also { recordResult(it is SnapshotResult.Snapshot) }
+        measured("snapshot") { store.snapshot(stream) }.also { recordResult(it is SnapshotResult.Snapshot) }
 
     /** Fails early if another call fails, because the store may have stopped answering. */
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult = coroutineScope {
-        val call = async { store.read(stream, fromOffset, waitMs).also { recordResult(it !is StreamReadResult.Failed) } }
+        val call = async { read(stream, fromOffset, waitMs, timer.nowMs()) }
         select {
             call.onAwait { it }
             callFailed.onAwait {
@@ -53,14 +56,21 @@
         }
     }
 
+    private suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, startedAtMs: Long): StreamReadResult {
+        val result = store.read(stream, fromOffset, waitMs)
+        logIfSlow("read", timer.nowMs() - startedAtMs - waitMs)
+        recordResult(result !is StreamReadResult.Failed)
+        return result
+    }
+
     override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?): KeyedAppendResult {
-        val result = measured { store.append(stream, changes, expectedEndOffset) }
+        val result = measured("append") { store.append(stream, changes, expectedEndOffset) }
         recordResult(result is KeyedAppendResult.Appended || result is KeyedAppendResult.Conflict)
         return result
     }
 
     override suspend fun join(member: String, generation: Long, ttlMs: Long): JoinResult =
-        measured { group.join(member, generation, ttlMs) }.also { recordResult(it is JoinResult.Joined) }
+        measured("join") { group.join(member, generation, ttlMs) }.also { recordResult(it is JoinResult.Joined) }
 
     override suspend fun members(): Set<String>? = group.members().also { recordResult(it != null) }
 
@@ -77,14 +87,23 @@
         }
     }
 
-    private suspend fun <T> measured(call: suspend () -> T): T {
+    private suspend fun <T> measured(name: String, call: suspend () -> T): T {
         val startedAtMs = timer.nowMs()
         val result = call()
         val nowMs = timer.nowMs()
         if (nowMs - startedAtMs > SLOW_CALL_MS) slowAtMs = nowMs
+        logIfSlow(name, nowMs - startedAtMs)
         return result
     }
 
+    private fun logIfSlow(name: String, elapsedMs: Long) {
+        if (elapsedMs < LOGGED_CALL_MS) return
+        events.log(Events.STORE_CALL_SLOW) {
+            put("call", name)
+            put("elapsed_ms", elapsedMs)
+        }
+    }
+
     private fun recordResult(isAvailable: Boolean) {
         if (!isAvailable) {
             failedAtMs = timer.nowMs()
@@ -100,6 +119,9 @@
         const val SLOW_CALL_MS = 60L
         const val SLOW_PERIOD_MS = 3_000L
 
+        /** Time of a call, without the wait of a read, from which on it is logged. */
+        const val LOGGED_CALL_MS = 250L
+
         /** Time between the calls that show whether the store is available again. */
         const val RECHECK_INTERVAL_MS = 700L
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -134,7 +134,10 @@
         val occupancy = target.occupancy(nowMs)
         val remainingMs = exchange.deadlineAtMs - nowMs
         val result = try {
-            dependencies.targetClient.send(target.entry, exchange.request, remainingMs.coerceAtLeast(1))
+            dependencies.targetClient.send(target.entry, exchange.request, remainingMs.coerceAtLeast(1)) {
+                logIfDelayed(exchange, target, chosenAtMs = nowMs)
+                true
+            }
         } catch (cancelled: CancellationException) {
             logRequest(Events.REQUEST_CANCELLED, exchange, target, "the caller closed its connection")
             throw cancelled
@@ -148,6 +151,16 @@
         }
     }
 
+    /** Logs a request whose first byte leaves long after its target was chosen: what the choice relied on may have changed meanwhile. */
+    private fun logIfDelayed(exchange: Exchange, target: TargetState, chosenAtMs: Long) {
+        val waitedMs = timer.nowMs() - chosenAtMs
+        if (waitedMs >=
+            LOGGED_DELAY_MS
+        ) {
+            logRequest(Events.REQUEST_DELAYED, exchange, target, "sent $waitedMs ms after the choice of the target")
+        }
+    }
+
     private fun answered(
         exchange: Exchange,
         target: TargetState,
@@ -263,6 +276,7 @@
             put("target", target.entry.id)
             put("target_zone", target.entry.zone)
             put("target_known_for_ms", nowMs - target.seenAtMs)
+            put("target_draining_for_ms", target.drainingSinceMs?.let { nowMs - it })
             put("occupancy", target.occupancy(nowMs))
             put("slots", target.entry.slots)
             put("is_cold", target.coldUntilMs > nowMs)
@@ -274,6 +288,7 @@
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
         const val SAMPLE_ONE_IN = 200
+        const val LOGGED_DELAY_MS = 150L
         const val MAX_REFUSALS = 3
 
         /** With less time left, a retry cannot be answered before the deadline. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
@@ -52,11 +52,14 @@
     private val client: HttpClient,
     private val names: HeaderNames,
 ) {
-    /** Sends [request], whose deadline is [remainingMs] away, and classifies the result. */
-    suspend fun send(target: TargetEntry, request: HttpRequest, remainingMs: Long): TargetResult {
+    /**
+     * Sends [request], whose deadline is [remainingMs] away, and classifies the result. [maySend] is called right before the first byte
+     * leaves, because the wait for a connection takes time. When it returns false, nothing is sent.
+     */
+    suspend fun send(target: TargetEntry, request: HttpRequest, remainingMs: Long, maySend: () -> Boolean): TargetResult {
         val sent = HttpRequest(request.method, request.target, headersFor(target, request, remainingMs), request.body)
         val id = request.headers[names.requestId]
-        return when (val result = client.send(target.address, sent, remainingMs + RESPONSE_GRACE_MS, id)) {
+        return when (val result = client.send(target.address, sent, remainingMs + RESPONSE_GRACE_MS, id, maySend)) {
             is HttpResult.Answered -> classify(target, result.response)
             is HttpResult.NotSent -> TargetResult.NotRun(NotRunCause.UNREACHABLE, result.reason, hasArrived = false, load = null)
             is HttpResult.Unknown -> TargetResult.Unknown(result.reason, isTimeout = result.reason.startsWith(TIMEOUT_REASON_PREFIX))
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -10,13 +10,18 @@
 import yuccaflow.entry.telemetry.Events
 import kotlin.random.Random
 
-/** Receives the records of a stream in the order of their offsets. */
+/**
+ * Receives the records of a stream in the order of their offsets.
+ *
+ * `writtenAfterMs` is the start of the last read that reached the end of the stream before these records: the earliest time at which the
+ * new ones among them may have been written, or null if they may be older than this process.
+ */
 internal interface StreamListener {
     /** Replaces the entire state with [records]. */
-    fun onSnapshot(records: List<KeyedRecord>, endOffset: Long)
+    fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long? = null)
 
     /** Applies the next [records]. The stream has then been read up to [endOffset]. */
-    fun onRecords(records: List<KeyedRecord>, endOffset: Long)
+    fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long? = null)
 }
 
 /**
@@ -44,7 +49,7 @@
 /** Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them. */
 internal class StreamFollower(
     private val store: KeyedStore,
-    private val stream: KeyedStream,
+    val stream: KeyedStream,
     private val timer: TimerService,
     private val events: EventLog,
     private val listener: StreamListener,
@@ -88,7 +93,7 @@
                         put("records", result.records.size)
                         put("end_offset", result.endOffset)
                     }
-                    listener.onSnapshot(result.records, result.endOffset)
+                    listener.onSnapshot(result.records, result.endOffset, confirmedAtMs)
                     return result.endOffset
                 }
                 is SnapshotResult.Failed -> onFailed(result.reason)
@@ -107,7 +112,7 @@
                 is StreamReadResult.Read -> {
                     // An answer without records may report a later end of the stream. The records before that end are yet to be read.
                     next = result.records.lastOrNull()?.let { it.offset + 1 } ?: next
-                    listener.onRecords(result.records, next)
+                    listener.onRecords(result.records, next, confirmedAtMs)
                     onAnswered(startedAtMs, isAtEnd = next >= result.endOffset)
                     isCaughtUp = result.records.isEmpty()
                     if (!isCaughtUp) timer.sleep(settings().batchDelayMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -12,6 +12,7 @@
 
     const val STORE_LOST = "store_lost"
     const val STORE_REGAINED = "store_regained"
+    const val STORE_CALL_SLOW = "store_call_slow"
     const val RELAY_STARTED = "relay_started"
     const val RELAY_ENDED = "relay_ended"
     const val STREAM_SNAPSHOT = "stream_snapshot"
@@ -41,6 +42,7 @@
     const val RECORD_REJECTED = "record_rejected"
 
     const val REQUEST_SAMPLED = "request_sampled"
+    const val REQUEST_DELAYED = "request_delayed"
     const val REQUEST_REPEATED = "request_repeated"
     const val REQUEST_REFUSED = "request_refused"
     const val REQUEST_UNKNOWN = "request_unknown"
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/RouterMeters.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/RouterMeters.kt
@@ -38,6 +38,11 @@
         Gauge.builder(name) { value() }.register(registry)
     }
 
+    /** Registers a gauge that has the value [tagValue] in its tag [tag]. */
+    fun gauge(name: String, tag: String, tagValue: String, value: () -> Number) {
+        Gauge.builder(name) { value() }.tag(tag, tagValue).register(registry)
+    }
+
     /** Returns the metrics in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
@@ -53,14 +53,14 @@
             RelayClient(
                 LoopbackHttpClient(
                     relayHandler(
-                        DirectStoreAccess(peerStore, peerStore, timer),
+                        DirectStoreAccess(peerStore, peerStore, timer, RecordingEventLog()),
                         KeyLoadTracker(timer),
                         StubKeyGrantClient(releaseResult),
                         plannerEndpoint,
                     ),
                 ),
             )
-        val direct = DirectStoreAccess(ownStore, ownStore, timer)
+        val direct = DirectStoreAccess(ownStore, ownStore, timer, RecordingEventLog())
         val access = FailoverStoreAccess(direct, client, { listOf(peer, otherPeer) }, timer, log)
         val change = listOf(KeyedChange("k", "v".toByteArray()), KeyedChange("gone", null))
     }
@@ -138,7 +138,7 @@
     fun `a waiting read fails if another call fails`() = runTest {
         val timer = VirtualTimer(testScheduler)
         val fixture = Fixture(timer)
-        val direct = DirectStoreAccess(fixture.ownStore, fixture.ownStore, timer)
+        val direct = DirectStoreAccess(fixture.ownStore, fixture.ownStore, timer, RecordingEventLog())
         val read = async { direct.read(KeyedStream.ROUTERS, 0, 25_000) }
         testScheduler.advanceTimeBy(100)
         fixture.ownStore.isDisconnected = true
@@ -153,8 +153,8 @@
     fun `the store counts as slow for some seconds after a slow call`() = runTest {
         val timer = VirtualTimer(testScheduler)
         val data = FakeStoreData(timer)
-        val fast = FakeStore(data).let { DirectStoreAccess(it, it, timer) }
-        val slow = FakeStore(data, callMs = 240).let { DirectStoreAccess(it, it, timer) }
+        val fast = FakeStore(data).let { DirectStoreAccess(it, it, timer, RecordingEventLog()) }
+        val slow = FakeStore(data, callMs = 240).let { DirectStoreAccess(it, it, timer, RecordingEventLog()) }
         listOf(fast, slow).forEach { it.join("m", 0, 1_000) }
         expectThat(fast.isSlow).isEqualTo(false)
         expectThat(slow.isSlow).isTrue()
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
@@ -59,7 +59,7 @@
         private val plannerStore = FakeStore(data)
         private val handler =
             relayHandler(
-                DirectStoreAccess(plannerStore, plannerStore, timer),
+                DirectStoreAccess(plannerStore, plannerStore, timer, RecordingEventLog()),
                 KeyLoadTracker(timer),
                 StubKeyGrantClient(),
                 PlannerEndpoint(authority, clusterState, timer),
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
@@ -44,11 +44,11 @@
     private class RecordingListener : StreamListener {
         val offsets = ArrayList<Long>()
 
-        override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long) {
+        override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
             offsets += records.map { it.offset }
         }
 
-        override fun onRecords(records: List<KeyedRecord>, endOffset: Long) {
+        override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
             offsets += records.map { it.offset }
         }
     }
