Count the time of a leaving owner from the earliest moment at which it may have said so

An older entry of the same process even ended the leaving.

An incarnation that has said it leaves stays leaving when it is listed again.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -9,21 +9,26 @@
  *
  * Confined to the event loop.
  *
+ * @param writtenAfterMs the earliest time at which [entry] may have been written, or null if that may have been any time.
  * @property seenAtMs when this router first read an entry of this incarnation.
  */
 internal class TargetState(
     entry: TargetEntry,
     val seenAtMs: Long,
+    writtenAfterMs: Long? = null,
 ) {
     /** The newest directory entry. */
     var entry: TargetEntry = entry
         private set
 
-    /** When the entry was removed from the store, or null while it is present. */
-    var entryRemovedAtMs: Long? = null
+    /** The removal of the entry from the store, or null while the entry is present. */
+    var removal: Announcement? = null
 
-    /** When this router first saw the target draining, or null if it is not draining. */
-    var drainingSinceMs: Long? = if (entry.isDraining) seenAtMs else null
+    /**
+     * The target's first announcement that it drains, or null if it has made none. An incarnation does not return to service, so later
+     * entries of a target that reports its start do not change this.
+     */
+    var draining: Announcement? = if (entry.isDraining) Announcement.read(writtenAfterMs, seenAtMs) else null
         private set
 
     /** This router's requests that the target has not answered yet. */
@@ -52,12 +57,14 @@
     private var failureShare = 0.0
     private var failureShareAtMs = seenAtMs
 
-    /** Applies a newer entry of the same incarnation. */
-    fun update(newer: TargetEntry, nowMs: Long) {
-        if (newer.isDraining && drainingSinceMs == null) drainingSinceMs = nowMs
+    /** Applies a newer entry of the same incarnation, which was written after [writtenAfterMs], or at any time if that is null. */
+    fun update(newer: TargetEntry, nowMs: Long, writtenAfterMs: Long?) {
+        if (newer.isDraining) draining = draining ?: Announcement.read(writtenAfterMs, nowMs)
+        // Without its start, a target that started again at the same address cannot be told from one that goes on.
+        if (!newer.isDraining && newer.bornMs == null) draining = null
         if (newer.coldRemainingMs > 0) markCold(nowMs + newer.coldRemainingMs)
         entry = newer
-        entryRemovedAtMs = null
+        removal = null
     }
 
     /** Marks the target as cold until at least [untilMs]. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import yuccaflow.base.TimerService
+import yuccaflow.entry.balance.Announcement
 import yuccaflow.entry.directory.OperatorRecord
 import yuccaflow.entry.directory.RecordDecoder
 import yuccaflow.entry.store.KeyedRecord
@@ -24,21 +25,21 @@
     var table: RoutingTable? = null
         private set
 
-    private var emptiedAtMsByZone: PersistentMap<String, Long> = persistentMapOf()
+    private var emptiedZones: PersistentMap<String, Announcement> = persistentMapOf()
     private val returnedAtMsByZone = HashMap<String, Long>()
 
     /** Returns whether the operators have emptied [zone], so that its targets must get no new requests. */
-    fun isEmptied(zone: String): Boolean = zone in emptiedAtMsByZone
+    fun isEmptied(zone: String): Boolean = zone in emptiedZones
 
-    /** When this router read that [zone] was emptied, or null if it is not emptied. */
-    fun emptiedAtMs(zone: String): Long? = emptiedAtMsByZone[zone]
+    /** The announcement that [zone] was emptied, or null if it is not emptied. */
+    fun emptied(zone: String): Announcement? = emptiedZones[zone]
 
     /** When this router read that [zone] was last returned to service, or null if it never was. */
     fun returnedAtMs(zone: String): Long? = returnedAtMsByZone[zone]
 
     override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
         val zonesInSnapshot = records.mapNotNull { applyRecord(it, writtenAfterMs) }.toSet()
-        emptiedAtMsByZone.keys.filter { it !in zonesInSnapshot }.forEach(::returnZone)
+        emptiedZones.keys.filter { it !in zonesInSnapshot }.forEach(::returnZone)
     }
 
     override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
@@ -77,8 +78,8 @@
     }
 
     private fun emptyZone(zone: String, offset: Long, writtenAfterMs: Long?) {
-        if (zone in emptiedAtMsByZone) return
-        emptiedAtMsByZone = emptiedAtMsByZone.put(zone, timer.nowMs())
+        if (zone in emptiedZones) return
+        emptiedZones = emptiedZones.put(zone, Announcement.read(writtenAfterMs, timer.nowMs()))
         events.log(Events.ZONE_EMPTIED) {
             put("emptied_zone", zone)
             put("offset", offset)
@@ -87,8 +88,8 @@
     }
 
     private fun returnZone(zone: String) {
-        if (zone !in emptiedAtMsByZone) return
-        emptiedAtMsByZone = emptiedAtMsByZone.remove(zone)
+        if (zone !in emptiedZones) return
+        emptiedZones = emptiedZones.remove(zone)
         returnedAtMsByZone[zone] = timer.nowMs()
         events.log(Events.ZONE_RETURNED) { put("returned_zone", zone) }
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.directory
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.balance.Announcement
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.store.KeyedRecord
@@ -29,15 +30,14 @@
     /** Returns the state of target [id] if its entry is present or in the grace period after its removal. */
     fun find(id: String): TargetState? = states[id]?.takeUnless { isExpired(it) }
 
-    /** Returns the state of a target that [find] does not return any more, if its entry was removed less than [withinMs] ago. */
-    fun findRemoved(id: String, withinMs: Long): TargetState? =
-        removedStates[id]?.takeIf { timer.nowMs() - (it.entryRemovedAtMs ?: 0L) < withinMs }
+    /** Returns the state of a target that [find] does not return any more, if its entry was removed a few seconds ago. */
+    fun findRemoved(id: String): TargetState? = removedStates[id]
 
     /** Returns the targets of [service], including draining ones and those in emptied zones. */
     fun ofService(service: String): List<TargetState> = states.values.filter { it.entry.service == service && !isExpired(it) }
 
     /** Returns whether the target may get requests or keys that it does not own already: it is not draining and its zone is not emptied. */
-    fun acceptsNewWork(state: TargetState): Boolean = !state.entry.isDraining && !operators.isEmptied(state.entry.zone)
+    fun acceptsNewWork(state: TargetState): Boolean = state.draining == null && !operators.isEmptied(state.entry.zone)
 
     /** Returns whether no target is known. */
     fun isEmpty(): Boolean = states.isEmpty()
@@ -69,20 +69,21 @@
 
     private fun update(entry: TargetEntry, writtenAfterMs: Long?) {
         val nowMs = timer.nowMs()
-        val known = states[entry.id]
+        val known = states[entry.id] ?: removedStates[entry.id]
+        removedStates -= entry.id
         if (known == null || !known.entry.isSameIncarnation(entry)) {
-            states[entry.id] = TargetState(entry, nowMs)
-            removedStates -= entry.id
+            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs)
             logSeen(entry, known)
             return
         }
-        if (entry.isDraining && !known.entry.isDraining) {
+        states[entry.id] = known
+        if (entry.isDraining && known.draining == null) {
             events.log(Events.TARGET_DRAINING) {
                 put("target", entry.id)
                 put("written_within_ms", writtenAfterMs?.let { nowMs - it })
             }
         }
-        known.update(entry, nowMs)
+        known.update(entry, nowMs, writtenAfterMs)
     }
 
     private fun logSeen(entry: TargetEntry, previous: TargetState?) = events.log(Events.TARGET_SEEN) {
@@ -98,28 +99,30 @@
 
     private fun markRemoved(id: String, writtenAfterMs: Long?) {
         val state = states[id] ?: return
-        if (state.entryRemovedAtMs != null) return
+        if (state.removal != null) return
         val nowMs = timer.nowMs()
-        state.entryRemovedAtMs = nowMs
+        val mayBeDueToOutage = mayBeDueToOutage(nowMs)
+        // An entry that expired in an outage announces nothing. Its target is kept until it has had time to write another one.
+        state.removal = if (mayBeDueToOutage) Announcement(nowMs, nowMs) else Announcement.read(writtenAfterMs, nowMs)
         events.log(Events.TARGET_GONE) {
             put("target", id)
             put("service", state.entry.service)
-            put("kept_for_ms", if (mayBeDueToOutage(nowMs)) REMOVAL_GRACE_MS else 0L)
+            put("kept_for_ms", if (mayBeDueToOutage) REMOVAL_GRACE_MS else 0L)
             put("written_within_ms", writtenAfterMs?.let { nowMs - it })
         }
-        if (!mayBeDueToOutage(nowMs)) remove(id, state)
+        if (!mayBeDueToOutage) remove(id, state)
     }
 
     private fun isExpired(state: TargetState): Boolean {
-        val entryRemovedAtMs = state.entryRemovedAtMs ?: return false
-        return timer.nowMs() - entryRemovedAtMs >= REMOVAL_GRACE_MS
+        val removal = state.removal ?: return false
+        return timer.nowMs() - removal.readAtMs >= REMOVAL_GRACE_MS
     }
 
     /** Removes the targets whose grace period has ended. */
     fun removeExpired() {
         states.filterValues(::isExpired).forEach { (id, state) -> remove(id, state) }
         val nowMs = timer.nowMs()
-        removedStates.values.removeIf { nowMs - (it.entryRemovedAtMs ?: 0L) > REMOVED_RETENTION_MS }
+        removedStates.values.removeIf { state -> state.removal?.let { nowMs - it.readAtMs > REMOVED_RETENTION_MS } ?: true }
     }
 
     private fun remove(id: String, state: TargetState) {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -187,7 +187,7 @@
             CandidateTarget(
                 holder = incarnationOf(state.entry),
                 weight = state.entry.slots / state.serviceTimeMs(typicalMs),
-                mayGainKeys = mayOwnKeys(state) && (!hasWarmTarget || state.coldUntilMs <= nowMs) && state.entryRemovedAtMs == null,
+                mayGainKeys = mayOwnKeys(state) && (!hasWarmTarget || state.coldUntilMs <= nowMs) && state.removal == null,
                 mayKeepKeys = mayOwnKeys(state),
             )
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.routing
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.balance.Announcement
 import yuccaflow.entry.balance.ChoiceContext
 import yuccaflow.entry.balance.TargetChoice
 import yuccaflow.entry.balance.TargetChooser
@@ -62,8 +63,11 @@
     }
 
     private fun ownerExpectedAtMs(assignment: Assignment?, startedAtMs: Long): Long {
-        if (assignment == null || !assignment.isMoving) return startedAtMs + MAX_WAIT_MS
-        return timer.nowMs() - movingForMs(assignment) + MOVE_DURATION_MS
+        if (assignment == null) return startedAtMs + MAX_WAIT_MS
+        if (assignment.isMoving) return timer.nowMs() - movingForMs(assignment) + MOVE_DURATION_MS
+        // The planner moves the keys of a leaving owner as soon as it has read the announcement too.
+        val announcedAtMs = incarnationOf(assignment.holder)?.let(::announcementsOf).orEmpty().maxOfOrNull { it.readAtMs }
+        return maxOf(startedAtMs + MAX_WAIT_MS, announcedAtMs?.let { it + MOVE_DURATION_MS } ?: startedAtMs)
     }
 
     private fun movingForMs(assignment: Assignment): Long = clusterState.readAtMs(assignment)?.let { timer.nowMs() - it } ?: 0
@@ -89,19 +93,28 @@
         return if (isAwaitingGrant(assignment)) null else stateOf(assignment.holder)
     }
 
-    private fun stateOf(holder: TargetIncarnation): TargetState? {
-        val state = directory.find(holder.target) ?: directory.findRemoved(holder.target, LEAVING_OWNER_USABLE_MS)
-        return state?.takeIf { holder.isIncarnationOf(it.entry) && isStillUsable(it) }
-    }
+    private fun stateOf(holder: TargetIncarnation): TargetState? = incarnationOf(holder)?.takeIf(::mayReceive)
+
+    private fun incarnationOf(holder: TargetIncarnation): TargetState? =
+        (directory.find(holder.target) ?: directory.findRemoved(holder.target))?.takeIf { holder.isIncarnationOf(it.entry) }
 
-    /** A leaving owner serves its keys until they have moved, but no longer than it may receive requests. */
-    private fun isStillUsable(state: TargetState): Boolean {
+    /**
+     * Returns whether an owner may receive requests for its keys now. A leaving owner serves its keys until they have moved, but only while
+     * it is certain that the announcement is recent enough.
+     */
+    fun mayReceive(owner: TargetState): Boolean {
         val nowMs = timer.nowMs()
-        val drainingMs = state.drainingSinceMs?.let { nowMs - it } ?: 0
-        val emptiedMs = operators.emptiedAtMs(state.entry.zone)?.let { nowMs - it } ?: 0
-        return drainingMs < LEAVING_OWNER_USABLE_MS && emptiedMs < EMPTIED_ZONE_USABLE_MS
+        val emptiedMs = operators.emptied(owner.entry.zone)?.let { nowMs - it.madeAfterMs } ?: 0
+        return leavingOf(owner).all { nowMs - it.madeAfterMs < LEAVING_OWNER_USABLE_MS } && emptiedMs < EMPTIED_ZONE_USABLE_MS
     }
 
+    private fun announcementsOf(owner: TargetState): List<Announcement> =
+        leavingOf(owner) + listOfNotNull(operators.emptied(owner.entry.zone))
+
+    /** A target that the directory keeps although its entry is missing has not announced that it leaves. */
+    private fun leavingOf(owner: TargetState): List<Announcement> =
+        listOfNotNull(owner.draining, owner.removal.takeIf { directory.find(owner.entry.id) !== owner })
+
     private fun reasonFor(assignment: Assignment?, owner: TargetState?): String = when {
         assignment == null -> "the key has no owner"
         owner != null -> "the owner of the key cannot be reached"
@@ -123,10 +136,10 @@
         /** Long enough for the planner's record of the confirmation to arrive first if the new owner gets its grant meanwhile. */
         const val NEW_OWNER_RETRY_MS = 1_000L
 
-        /** A leaving target must receive no requests later than 2 s after it announced that. */
-        const val LEAVING_OWNER_USABLE_MS = 1_200L
+        /** A leaving target must receive no requests later than 2 s after it announced that. The rest is for the way to the target. */
+        const val LEAVING_OWNER_USABLE_MS = 1_500L
 
         /** The targets of an emptied zone must receive no requests later than 5 s after the operators emptied it. */
-        const val EMPTIED_ZONE_USABLE_MS = 3_500L
+        const val EMPTIED_ZONE_USABLE_MS = 4_500L
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -276,7 +276,7 @@
             put("target", target.entry.id)
             put("target_zone", target.entry.zone)
             put("target_known_for_ms", nowMs - target.seenAtMs)
-            put("target_draining_for_ms", target.drainingSinceMs?.let { nowMs - it })
+            put("target_draining_for_ms", target.draining?.let { nowMs - it.readAtMs })
             put("occupancy", target.occupancy(nowMs))
             put("slots", target.entry.slots)
             put("is_cold", target.coldUntilMs > nowMs)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
@@ -51,6 +51,25 @@
         expectThat(directory.find("t")).isNull()
     }
 
+    /** Guards against new requests to a leaving target because an older entry of the same process arrives after the newer one. */
+    @Test
+    fun `a target that leaves stays leaving until it starts again`() {
+        write(FakeRecords.entry("t", 1, bornMs = 5).copy(isDraining = true))
+        write(FakeRecords.entry("t", 1, bornMs = 5))
+        expectThat(directory.acceptsNewWork(directory.find("t")!!)).isFalse()
+        write(FakeRecords.entry("t", 1, bornMs = 6))
+        expectThat(directory.acceptsNewWork(directory.find("t")!!)).isTrue()
+    }
+
+    /** Guards against new requests to a leaving target because its entry was removed and listed again. */
+    @Test
+    fun `a target that leaves stays leaving when its entry is removed and listed again`() {
+        write(FakeRecords.entry("t", 1, bornMs = 5).copy(isDraining = true))
+        write("t", null)
+        write(FakeRecords.entry("t", 1, bornMs = 5))
+        expectThat(directory.acceptsNewWork(directory.find("t")!!)).isFalse()
+    }
+
     /** Guards against a foreign record that is mistaken for a target or affects other targets. */
     @Test
     fun `an invalid entry adds no target and leaves the others unchanged`() {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyOwnerChooserTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyOwnerChooserTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNull
 import yuccaflow.entry.balance.ChoiceContext
 import yuccaflow.entry.balance.ColdStartLimiter
@@ -52,9 +53,13 @@
         assign(isMoving = false)
     }
 
-    private fun write(entry: TargetEntry) = FakeRecords.targetChange(entry).let { writeTarget(it.key, it.value) }
+    private fun write(entry: TargetEntry, writtenAfterMs: Long = timer.now) =
+        FakeRecords.targetChange(entry).let { writeTarget(it.key, it.value, writtenAfterMs) }
 
-    private fun writeTarget(id: String, value: ByteArray?) = directory.onRecords(listOf(KeyedRecord(id, value, 0)), 1)
+    private fun writeTarget(id: String, value: ByteArray?, writtenAfterMs: Long = timer.now) =
+        directory.onRecords(listOf(KeyedRecord(id, value, 0)), 1, writtenAfterMs)
+
+    private fun emptyZone(writtenAfterMs: Long) = operators.onRecords(listOf(KeyedRecord("empty/z", ByteArray(1), 0)), 1, writtenAfterMs)
 
     private fun assign(isMoving: Boolean, generation: Long = 1, formers: List<FormerHolder> = emptyList()) {
         val assignment = Assignment(KEYED_SERVICE, FIRST_KEY, LAST_KEY, incarnationOf(owner), generation, formers, isMoving)
@@ -82,7 +87,7 @@
         /** Guards against requests to a zone more than 5 s after the operators have emptied it. */
         @Test
         fun `chooses it until shortly before five seconds after its zone was emptied`() = runTest {
-            operators.onRecords(listOf(KeyedRecord("empty/z", ByteArray(1), 0)), 1)
+            emptyZone(writtenAfterMs = timer.now)
             expectThat(chosenTarget()).isEqualTo("t1")
             timer.now += 4_800
             expectThat(chosenTarget()).isNull()
@@ -96,6 +101,47 @@
             timer.now += 1_900
             expectThat(chosenTarget()).isNull()
         }
+
+        /** Guards against requests to a target more than 2 s after it began to drain, because this router read so late. */
+        @Test
+        fun `counts from the earliest time at which it may have begun to drain`() = runTest {
+            write(owner.copy(isDraining = true), writtenAfterMs = timer.now - 1_900)
+            expectThat(chosenTarget()).isNull()
+        }
+
+        /** Guards against requests to a target more than 2 s after its entry was removed, because this router read so late. */
+        @Test
+        fun `counts from the earliest time at which its entry may have been removed`() = runTest {
+            writeTarget("t1", null, writtenAfterMs = timer.now - 1_900)
+            expectThat(chosenTarget()).isNull()
+        }
+
+        /** Guards against requests to a zone more than 5 s after the operators have emptied it, because this router read so late. */
+        @Test
+        fun `counts from the earliest time at which its zone may have been emptied`() = runTest {
+            emptyZone(writtenAfterMs = timer.now - 4_900)
+            expectThat(chosenTarget()).isNull()
+        }
+
+        /** Guards against a leaving owner that is used for another while after a foreign record has replaced its entry for a moment. */
+        @Test
+        fun `does not count anew after its entry was rejected and listed again`() = runTest {
+            write(owner.copy(isDraining = true))
+            timer.now += 1_000
+            writeTarget("t1", "noise".toByteArray())
+            timer.now += 900
+            write(owner.copy(isDraining = true))
+            expectThat(chosenTarget()).isNull()
+        }
+
+        /** Guards against refused requests although the planner is about to move the keys. */
+        @Test
+        fun `waits for the move of its keys when it must not be used any more`() = runTest {
+            write(owner.copy(isDraining = true), writtenAfterMs = timer.now - 1_900)
+            val askedAtMs = timer.now
+            chosenTarget()
+            expectThat(timer.now - askedAtMs).isGreaterThanOrEqualTo(250)
+        }
     }
 
     @Nested
