Look again at target, deadline and time left right before a request is sent

A request waits for a connection after its target was chosen, and nobody looked again: it could be sent to a target that had begun to leave meanwhile, or after its deadline, and the target was told the time that was left before the wait.

The HTTP client asks for the request to write right before its first byte (it asked only whether it may be sent). The router withdraws it if the target may get no more requests or the time is over, and chooses again. A withdrawn request is no failure of the target.

Tests: three in RequestRouterTest, which fail when the check is taken out; one in HttpClientTest.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -58,6 +58,9 @@
         return admit(best, context, nowMs)
     }
 
+    /** Returns whether [target] may still receive a request for which it was chosen. */
+    fun mayReceive(target: TargetState): Boolean = directory.acceptsNewWork(target) && directory.find(target.entry.id) === target
+
     /**
      * Admits the request to [target] if it is expected to answer in time and its queue is not too long. Takes a cold-start token if the
      * target is cold.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -135,8 +135,7 @@
         val remainingMs = exchange.deadlineAtMs - nowMs
         val result = try {
             dependencies.targetClient.send(target.entry, exchange.request, remainingMs.coerceAtLeast(1)) {
-                logIfDelayed(exchange, target, chosenAtMs = nowMs)
-                true
+                remainingAtSendMs(exchange, target, chosenAtMs = nowMs)
             }
         } catch (cancelled: CancellationException) {
             logRequest(Events.REQUEST_CANCELLED, exchange, target, "the caller closed its connection")
@@ -148,9 +147,21 @@
             is TargetResult.Answered -> answered(exchange, target, result, nowMs, occupancy)
             is TargetResult.NotRun -> notRun(exchange, target, result)
             is TargetResult.Unknown -> unknown(exchange, target, result)
+            TargetResult.Withdrawn -> {
+                logRequest(Events.REQUEST_WITHDRAWN, exchange, target, "the target may not receive it any more, or its time is over")
+                null
+            }
         }
     }
 
+    /** Returns the time until the deadline, or null if it has passed or [target] may not receive the request any more. */
+    private fun remainingAtSendMs(exchange: Exchange, target: TargetState, chosenAtMs: Long): Long? {
+        logIfDelayed(exchange, target, chosenAtMs)
+        val mayReceive =
+            if (exchange.key == null) dependencies.targetChooser.mayReceive(target) else dependencies.keyOwnerChooser.mayReceive(target)
+        return (exchange.deadlineAtMs - timer.nowMs()).takeIf { mayReceive && it > 0 }
+    }
+
     /** Logs a request whose first byte leaves long after its target was chosen: what the choice relied on may have changed meanwhile. */
     private fun logIfDelayed(exchange: Exchange, target: TargetState, chosenAtMs: Long) {
         val waitedMs = timer.nowMs() - chosenAtMs
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
@@ -3,8 +3,6 @@
 import yuccaflow.entry.balance.LoadReport
 import yuccaflow.entry.directory.TargetEntry
 import yuccaflow.http.HttpClient
-import yuccaflow.http.HttpHeader
-import yuccaflow.http.HttpHeaderList
 import yuccaflow.http.HttpRequest
 import yuccaflow.http.HttpResponse
 import yuccaflow.http.HttpResult
@@ -40,6 +38,9 @@
         val load: LoadReport?,
     ) : TargetResult
 
+    /** The request was withdrawn right before it would have been sent. */
+    data object Withdrawn : TargetResult
+
     /** The request may have run. [isTimeout] tells whether its deadline has passed. */
     class Unknown(
         val reason: String,
@@ -53,26 +54,29 @@
     private val names: HeaderNames,
 ) {
     /**
-     * Sends [request], whose deadline is [remainingMs] away, and classifies the result. [maySend] is called right before the first byte
-     * leaves, because the wait for a connection takes time. When it returns false, nothing is sent.
+     * Sends [request], whose deadline is [timeoutMs] away, and classifies the result. The wait for a connection takes time, so
+     * [remainingAtSendMs] is called right before the first byte leaves. It returns the time until the deadline, or null if [target] may not
+     * receive the request any more; then nothing is sent.
      */
-    suspend fun send(target: TargetEntry, request: HttpRequest, remainingMs: Long, maySend: () -> Boolean): TargetResult {
-        val sent = HttpRequest(request.method, request.target, headersFor(target, request, remainingMs), request.body)
+    suspend fun send(target: TargetEntry, request: HttpRequest, timeoutMs: Long, remainingAtSendMs: () -> Long?): TargetResult {
+        val prepare = { unsent: HttpRequest -> remainingAtSendMs()?.let { addressed(unsent, target, it) } }
         val id = request.headers[names.requestId]
-        return when (val result = client.send(target.address, sent, remainingMs + RESPONSE_GRACE_MS, id, maySend)) {
+        return when (val result = client.send(target.address, request, timeoutMs + RESPONSE_GRACE_MS, id, prepare)) {
             is HttpResult.Answered -> classify(target, result.response)
-            is HttpResult.NotSent -> TargetResult.NotRun(NotRunCause.UNREACHABLE, result.reason, hasArrived = false, load = null)
+            is HttpResult.NotSent ->
+                if (result.isWithdrawn) {
+                    TargetResult.Withdrawn
+                } else {
+                    TargetResult.NotRun(NotRunCause.UNREACHABLE, result.reason, hasArrived = false, load = null)
+                }
             is HttpResult.Unknown -> TargetResult.Unknown(result.reason, isTimeout = result.reason.startsWith(TIMEOUT_REASON_PREFIX))
         }
     }
 
-    private fun headersFor(target: TargetEntry, request: HttpRequest, remainingMs: Long): HttpHeaderList {
-        val overrides = listOf(
-            HttpHeader(names.deadlineMs, remainingMs.toString()),
-            HttpHeader(names.expectedInstance, target.id),
-        )
-        val forwarded = request.headers.lines.filterNot { line -> overrides.any { it.name.equals(line.name, ignoreCase = true) } }
-        return HttpHeaderList(forwarded + overrides)
+    /** Returns [request] with the headers for [target] and a deadline that is [remainingMs] away. */
+    private fun addressed(request: HttpRequest, target: TargetEntry, remainingMs: Long): HttpRequest {
+        val headers = request.headers.with(names.deadlineMs, remainingMs.toString()).with(names.expectedInstance, target.id)
+        return HttpRequest(request.method, request.target, headers, request.body)
     }
 
     private fun classify(target: TargetEntry, response: HttpResponse): TargetResult {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -43,6 +43,7 @@
 
     const val REQUEST_SAMPLED = "request_sampled"
     const val REQUEST_DELAYED = "request_delayed"
+    const val REQUEST_WITHDRAWN = "request_withdrawn"
     const val REQUEST_REPEATED = "request_repeated"
     const val REQUEST_REFUSED = "request_refused"
     const val REQUEST_UNKNOWN = "request_unknown"
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/LoopbackHttpClient.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/LoopbackHttpClient.kt
@@ -19,7 +19,7 @@
         request: HttpRequest,
         timeoutMs: Long,
         expectedRequestId: String?,
-        maySend: () -> Boolean,
+        prepare: (HttpRequest) -> HttpRequest?,
     ) =
         HttpResult.Answered(handler.handle(request))
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -46,6 +46,7 @@
     private val log = RecordingEventLog()
     private val sent = ArrayList<Pair<SocketAddress, HttpRequest>>()
     private var results: (Int) -> HttpResult = { served() }
+    private var waitForConnection: (SocketAddress) -> Unit = { }
 
     private object FixedTableDecoder : RecordDecoder by FakeRecords {
         override fun decodeOperatorRecord(key: String, value: ByteArray?): OperatorRecord = OperatorRecord.Table(
@@ -67,9 +68,11 @@
             request: HttpRequest,
             timeoutMs: Long,
             expectedRequestId: String?,
-            maySend: () -> Boolean,
+            prepare: (HttpRequest) -> HttpRequest?,
         ): HttpResult {
-            sent += address to request
+            waitForConnection(address)
+            val prepared = prepare(request) ?: return HttpResult.NotSent("withdrawn", isWithdrawn = true)
+            sent += address to prepared
             return results(sent.size)
         }
 
@@ -148,6 +151,42 @@
         }
     }
 
+    @Nested
+    @DisplayName("given a request that waits for a connection")
+    inner class WaitingForConnection {
+        /** Guards against requests to a target that began to leave after it was chosen. */
+        @Test
+        fun `sends it to another target if its target begins to drain meanwhile`() = runTest {
+            val drained = ArrayList<SocketAddress>()
+            waitForConnection = { address ->
+                val entry = directory.ofService("s").map { it.entry }.first { it.address == address }
+                val change = FakeRecords.targetChange(entry.copy(isDraining = true))
+                if (drained.isEmpty()) directory.onRecords(listOf(KeyedRecord(change.key, change.value, 10)), 11, timer.now)
+                drained += address
+            }
+            expectThat(handleRequest("/book/1").status).isEqualTo(200)
+            expectThat(sent.map { it.first }).containsExactly(drained.last())
+            expectThat(drained.toSet()).hasSize(2)
+        }
+
+        /** Guards against work for a caller whose time is over. */
+        @Test
+        fun `does not send it after its deadline`() = runTest {
+            waitForConnection = { timer.now += 900 }
+            val response = handleRequest("/book/1", deadlineMs = 900)
+            expectThat(response.status).isEqualTo(503)
+            expectThat(sent).hasSize(0)
+        }
+
+        /** Guards against a target that works on after the deadline because it was told the time before the wait. */
+        @Test
+        fun `tells the target the time that is left after the wait`() = runTest {
+            waitForConnection = { timer.now += 300 }
+            handleRequest("/book/1", deadlineMs = 905)
+            expectThat(sent.single().second.headers[names.deadlineMs]).isEqualTo("600")
+        }
+    }
+
     @Nested
     @DisplayName("while it drains")
     inner class Draining {
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -14,22 +14,23 @@
 
 /**
  * Tracks whether a request has been written. It is shared by the sending coroutine and the event loop, so that a timeout cannot race with
- * the write. [maySend] is called last, right before the write.
+ * the write. [prepare] is called last, right before the write. It returns the message to write, or null to withdraw the request.
  */
 internal class SendState(
-    private val maySend: () -> Boolean,
+    private val prepare: () -> FullHttpRequest?,
 ) {
     private enum class Stage { WAITING, SENT, ABANDONED, WITHDRAWN }
 
     private val stage = AtomicReference(Stage.WAITING)
 
-    /** Whether [maySend] returned false when the request was about to be written. */
+    /** Whether [prepare] withdrew the request when it was about to be written. */
     val isWithdrawn: Boolean get() = stage.get() == Stage.WITHDRAWN
 
-    /** Marks the request as sent. Returns false, so that it must not be written, when it was abandoned or is withdrawn. */
-    fun tryMarkSent(): Boolean {
-        val next = if (maySend()) Stage.SENT else Stage.WITHDRAWN
-        return stage.compareAndSet(Stage.WAITING, next) && next == Stage.SENT
+    /** Marks the request as sent and returns the message to write, or null if it was abandoned or is withdrawn. */
+    fun tryMarkSent(): FullHttpRequest? {
+        val message = prepare()
+        val next = if (message == null) Stage.WITHDRAWN else Stage.SENT
+        return message.takeIf { stage.compareAndSet(Stage.WAITING, next) }
     }
 
     /** Abandons the request. Returns true when no byte of it has been written and none will be. */
@@ -90,17 +91,17 @@
     /** Makes the connection close as soon as anything arrives on it before the next request is written. */
     fun expectNoResponse() = decoder.endResponse()
 
-    /** Writes [message], unless the connection is not usable or [sendState] does not allow it. Returns false when nothing was written. */
-    suspend fun write(message: FullHttpRequest, sendState: SendState): Boolean =
+    /** Writes the request, unless the connection is not usable or [sendState] does not allow it. Returns false when nothing was written. */
+    suspend fun write(sendState: SendState): Boolean =
         suspendCancellableCoroutine { waiter ->
             // Checked on the event loop, where nothing can arrive and the connection cannot be closed between the check and the write.
             channel.eventLoop().execute {
-                val written = isUsable() && decoder.isBetweenMessages && sendState.tryMarkSent()
-                if (written) {
+                val message = if (isUsable() && decoder.isBetweenMessages) sendState.tryMarkSent() else null
+                if (message != null) {
                     decoder.beginResponse(message.method())
                     lastWrite = channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
                 }
-                waiter.resume(written)
+                waiter.resume(message != null)
             }
             waiter.invokeOnCancellation { sendState.abandon() }
         }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -9,11 +9,12 @@
 
     /**
      * No byte of the request was sent, so the server cannot have run it. [isRefused] means that the host answered, but no process listens
-     * on the port.
+     * on the port; [isWithdrawn] that the sender itself withdrew the request.
      */
     data class NotSent(
         val reason: String,
         val isRefused: Boolean = false,
+        val isWithdrawn: Boolean = false,
     ) : HttpResult
 
     /** The request was sent, at least in part, but no valid response arrived. The server may or may not have run it. */
@@ -65,15 +66,16 @@
      * response without success goes out on another connection, where no repeated response to the first send can arrive. Cancelling the
      * coroutine closes the connection.
      *
-     * [maySend] is called on the event loop of the connection right before the first byte is written, because the wait for a connection
-     * takes time. When it returns false, the result is [HttpResult.NotSent].
+     * [prepare] is called on the event loop of the connection right before the first byte is written, because the wait for a connection
+     * takes time. It returns the request to write, which differs from [request] at most in its headers, or null to withdraw it. The result
+     * is then [HttpResult.NotSent] with [HttpResult.NotSent.isWithdrawn].
      */
     suspend fun send(
         address: SocketAddress,
         request: HttpRequest,
         timeoutMs: Long,
         expectedRequestId: String? = null,
-        maySend: () -> Boolean = { true },
+        prepare: (HttpRequest) -> HttpRequest? = { it },
     ): HttpResult
 
     /** Closes all connections. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -25,15 +25,10 @@
         request: HttpRequest,
         timeoutMs: Long,
         expectedRequestId: String?,
-        maySend: () -> Boolean,
+        prepare: (HttpRequest) -> HttpRequest?,
     ): HttpResult {
         if (closed) return HttpResult.NotSent("the client is closed")
-        val message = try {
-            encode(address, request)
-        } catch (invalid: IllegalArgumentException) {
-            return HttpResult.NotSent("the request is not valid: ${invalid.message}")
-        }
-        val call = Call(address, message, expectedRequestId, SendState(maySend))
+        val call = Call(address, request, expectedRequestId, prepare)
         val pool = pools.computeIfAbsent(address) { ConnectionPool(it, settings, memory) }
         val result = withTimeoutOrNull(timeoutMs) {
             pool.permits.withPermit { exchange(pool, call) }
@@ -46,12 +41,27 @@
         pools.values.forEach { it.close() }
     }
 
-    private class Call(
+    private inner class Call(
         val address: SocketAddress,
-        val message: FullHttpRequest,
+        val request: HttpRequest,
         val expectedRequestId: String?,
-        val sendState: SendState,
-    )
+        private val prepare: (HttpRequest) -> HttpRequest?,
+    ) {
+        val sendState = SendState(::encodePrepared)
+
+        /** Why the request cannot be encoded, or null if it can or has not been. */
+        private var invalidReason: String? = null
+
+        /** The result when the request was withdrawn before it was sent. */
+        fun withdrawn(): HttpResult = invalidReason?.let { HttpResult.NotSent("the request is not valid: $it") } ?: WITHDRAWN
+
+        private fun encodePrepared(): FullHttpRequest? = try {
+            prepare(request)?.let { encode(address, it) }
+        } catch (invalid: IllegalArgumentException) {
+            invalidReason = invalid.message.orEmpty()
+            null
+        }
+    }
 
     private suspend fun exchange(pool: ConnectionPool, call: Call): HttpResult {
         while (true) {
@@ -71,10 +81,8 @@
     private suspend fun exchangeOn(connection: ClientConnection, pool: ConnectionPool, call: Call): HttpResult? {
         var reusable = false
         try {
-            if (!connection.write(call.message, call.sendState)) {
-                return if (call.sendState.isWithdrawn) HttpResult.NotSent("the request was withdrawn before it was sent") else null
-            }
-            return when (val read = connection.read(call.message.method().name(), call.expectedRequestId)) {
+            if (!connection.write(call.sendState)) return if (call.sendState.isWithdrawn) call.withdrawn() else null
+            return when (val read = connection.read(call.request.method, call.expectedRequestId)) {
                 is ResponseRead.Broken -> HttpResult.Unknown("${call.address}: ${read.reason}")
                 is ResponseRead.Complete -> {
                     reusable = read.reusable
@@ -103,6 +111,7 @@
     }
 
     private companion object {
+        val WITHDRAWN = HttpResult.NotSent("the request was withdrawn before it was sent", isWithdrawn = true)
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "OPTIONS", "TRACE")
     }
 }
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -246,11 +246,23 @@
         val received = CompletableFuture<Boolean>()
         // The client aborts the connection, so that reading from it fails.
         server.serve { socket, _ -> received.complete(runCatching { socket.readRequest() }.getOrDefault(false)) }
-        val result = runBlocking { client.send(address, get, LONG_MS, maySend = { false }) }
-        expectThat(result).isA<HttpResult.NotSent>()
+        val result = runBlocking { client.send(address, get, LONG_MS, prepare = { null }) }
+        expectThat(result).isA<HttpResult.NotSent>().get { isWithdrawn }.isEqualTo(true)
         expectThat(received.get(LONG_MS, TimeUnit.MILLISECONDS)).isEqualTo(false)
     }
 
+    /** Guards against a server that works past the deadline because the deadline in the request was set before the wait for a connection. */
+    @Test
+    fun `sends what is prepared right before the request is written`() {
+        val received = CompletableFuture<String>()
+        server.serve { socket, _ ->
+            received.complete(socket.getInputStream().bufferedReader().readLine())
+            socket.answer("x")
+        }
+        runBlocking { client.send(address, get, LONG_MS, prepare = { HttpRequest(it.method, "/prepared") }) }
+        expectThat(received.get(LONG_MS, TimeUnit.MILLISECONDS)).isEqualTo("GET /prepared HTTP/1.1")
+    }
+
     @Test
     fun `skips interim responses`() {
         server.serve { socket, _ ->
