End a relayed read when the store is back

A router that the store refuses reads through two other routers in turn, up to 2.7 s each when they do not answer, and did not look at the store meanwhile although its own check each 0.7 s had found it back: routing tables and leavings were read up to 5.4 s late (CONFIG, DRAIN). Found by reading the code for waits without a second look; no run has shown it alone.

A relayed read now ends as soon as a direct call has succeeded. Test in FailoverStoreAccessTest, which fails without it.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -3,6 +3,8 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.selects.select
 import yuccaflow.base.TimerService
 import yuccaflow.entry.store.JoinResult
@@ -26,13 +28,19 @@
     RouterGroup {
     private var callFailed = CompletableDeferred<Unit>()
 
+    private val lastFailureAtMs = MutableStateFlow<Long?>(null)
+
     /** When the last call failed, or null if it succeeded. */
-    var failedAtMs: Long? = null
-        private set
+    val failedAtMs: Long? get() = lastFailureAtMs.value
 
     /** Whether the last call succeeded. */
     val isAvailable: Boolean get() = failedAtMs == null
 
+    /** Waits until a call succeeds. Returns at once if the last one has. */
+    suspend fun awaitAvailable() {
+        lastFailureAtMs.first { it == null }
+    }
+
     private var slowAtMs: Long? = null
 
     /**
@@ -106,12 +114,12 @@
 
     private fun recordResult(isAvailable: Boolean) {
         if (!isAvailable) {
-            failedAtMs = timer.nowMs()
+            lastFailureAtMs.value = timer.nowMs()
             callFailed.complete(Unit)
             return
         }
         if (failedAtMs != null) callFailed = CompletableDeferred()
-        failedAtMs = null
+        lastFailureAtMs.value = null
     }
 
     private companion object {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
@@ -1,5 +1,8 @@
 package yuccaflow.entry.peer
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import yuccaflow.base.TimerService
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
@@ -57,7 +60,7 @@
         val relayedWaitMs = waitMs.coerceAtMost(settings.maxWaitMs)
         val call = RelayCall.Read(stream, fromOffset, relayedWaitMs)
         return withFailover({ direct.read(stream, fromOffset, waitMs) }, { it is StreamReadResult.Failed }, isLongPoll = true) {
-            when (val answer = callPeers(call, relayedWaitMs)) {
+            when (val answer = callPeersWhileUnavailable(call, relayedWaitMs)) {
                 is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
                 RelayAnswer.Expired -> StreamReadResult.Expired
                 else -> null
@@ -125,6 +128,22 @@
         return null
     }
 
+    /**
+     * Calls other routers as [callPeers] does, but returns null as soon as the store is available to this one: another router may keep the
+     * call waiting, or not answer it at all.
+     */
+    private suspend fun callPeersWhileUnavailable(call: RelayCall, waitMs: Long): RelayAnswer? = coroutineScope {
+        val relayed = async { callPeers(call, waitMs) }
+        val available = async { direct.awaitAvailable() }
+        select {
+            relayed.onAwait { it }
+            available.onAwait { null }
+        }.also {
+            relayed.cancel()
+            available.cancel()
+        }
+    }
+
     private fun recordRelayedCall(peer: SocketAddress) {
         if (relayedSinceMs != null) return
         relayedSinceMs = timer.nowMs()
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
@@ -97,6 +98,24 @@
         expectThat(fixture.log.count("relay_ended")).isEqualTo(1)
     }
 
+    /** Guards against a routing table that is read seconds late because a router that reads for this one has stopped answering. */
+    @Test
+    fun `a read through a router that does not answer ends when the store is back`() = runTest {
+        val timer = VirtualTimer(testScheduler)
+        val fixture = Fixture(timer)
+        val silent = RelayClient(LoopbackHttpClient { awaitCancellation() })
+        val access = FailoverStoreAccess(fixture.direct, silent, { listOf(fixture.peer) }, timer, fixture.log)
+        backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+        fixture.ownStore.isDisconnected = true
+        fixture.direct.join("m", 0, 1_000)
+        val read = async { access.read(KeyedStream.OPERATORS, 0, 0) }
+        testScheduler.advanceTimeBy(100)
+        fixture.ownStore.isDisconnected = false
+        testScheduler.advanceTimeBy(STORE_RETURN_NOTICED_MS)
+        expectThat(read.isCompleted).isTrue()
+        read.cancel()
+    }
+
     /** Guards against routers that multiply the calls to a store that is down for all of them. */
     @Test
     fun `fails if the store is unavailable to the other router as well`() = runTest {
