Recheck waits for targets' entries

A wait for the targets' entries that begins while one is appended misses it until its end: 0.7 s after other records, 25 s otherwise. The operators' stream has a recheck 0.4 s after such a wait begins; the targets' stream did not. Both have it now, in place of the shorter first wait, so a batch of records costs as many calls as before (one less for the operators' stream). A recheck that finds nothing counts as a read that reached the end.

Tests: two in StreamFollowerTest.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -124,11 +124,10 @@
     private val operators = OperatorState(platform.decoder, timer, events)
     private val directory = TargetDirectory(platform.decoder, operators, timer, events) { targetsFollower.failedAtMs }
     private val clusterState = ClusterState(timer, events)
-    private val operatorsFollower = follower(KeyedStream.OPERATORS, operators) {
-        shortenWaitsIfSlow(FollowerSettings(recheckAfterMs = OPERATORS_RECHECK_MS))
-    }
+    private val operatorsFollower =
+        follower(KeyedStream.OPERATORS, operators) { shortenWaitsIfSlow(FollowerSettings.prompt(OPERATORS_BATCH_DELAY_MS)) }
     private val targetsFollower: StreamFollower =
-        follower(KeyedStream.TARGETS, directory) { shortenWaitsIfSlow(FollowerSettings(batchDelayMs = TARGETS_BATCH_DELAY_MS)) }
+        follower(KeyedStream.TARGETS, directory) { shortenWaitsIfSlow(FollowerSettings.prompt(TARGETS_BATCH_DELAY_MS)) }
     private val clusterStateStore =
         PlannerBackedStore(storeAccess, { clusterState.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
     private val clusterStateFollower: StreamFollower =
@@ -362,10 +361,8 @@
         /** Longest wait of a read while the store is slow. */
         const val SLOW_STORE_WAIT_MS = 800L
 
-        /** Longer than an append takes, also while the store is slow. A routing table must be in force two seconds after its release. */
-        const val OPERATORS_RECHECK_MS = 400L
-
         // Delays after records have arrived, so that one read returns several.
+        const val OPERATORS_BATCH_DELAY_MS = 50L
         const val TARGETS_BATCH_DELAY_MS = 200L
         const val CLUSTER_STATE_BATCH_DELAY_MS = 40L
         const val PLANNER_BATCH_DELAY_MS = 1L
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -44,7 +44,19 @@
     val initialBackoffMs: Long = 150,
     val maxBackoffMs: Long = 1_000,
     val minRefreshIntervalMs: Long = 300,
-)
+) {
+    companion object {
+        /** Longer than an append takes, also while the store is slow. */
+        private const val RECHECK_AFTER_MS = 400L
+
+        /**
+         * Settings for a stream whose records take effect within two seconds. Each wait is rechecked, so the first one after records need
+         * not be short.
+         */
+        fun prompt(batchDelayMs: Long) =
+            FollowerSettings(batchDelayMs = batchDelayMs, recheckAfterMs = RECHECK_AFTER_MS).let { it.copy(catchUpWaitMs = it.waitMs) }
+    }
+}
 
 /** Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them. */
 internal class StreamFollower(
@@ -150,9 +162,12 @@
         val recheckAfterMs = settings().recheckAfterMs
         if (recheckAfterMs == null || waitMs <= recheckAfterMs) awaitCancellation()
         timer.sleep(recheckAfterMs)
+        val startedAtMs = timer.nowMs()
         val result = store.read(stream, from, 0)
-        val hasMissed = result is StreamReadResult.Read && result.records.isNotEmpty()
-        return if (hasMissed) result else awaitCancellation()
+        if (result !is StreamReadResult.Read) awaitCancellation()
+        if (result.records.isNotEmpty()) return result
+        if (result.endOffset <= from) confirmedAtMs = startedAtMs
+        awaitCancellation()
     }
 
     private fun onAnswered(startedAtMs: Long, isAtEnd: Boolean) {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
@@ -94,6 +94,23 @@
         expectThat(listener.offsets).containsExactly(3L, 4L)
     }
 
+    /** Guards against a target that is used seconds after it began to leave, because its entry was appended as a wait for it began. */
+    @Test
+    fun `reads a record within a second that the wait after other records has missed`() {
+        val store = ScriptedStore(
+            listOf(StreamReadResult.Read(listOf(record("a", 4)), 5), null, StreamReadResult.Read(listOf(record("b", 5)), 6)),
+        )
+        follow(store, forMs = 1_000, FollowerSettings.prompt(batchDelayMs = 200))
+        expectThat(listener.offsets).containsExactly(3L, 4L, 5L)
+    }
+
+    /** Guards against an announcement that is reckoned from long before, although the stream was found to have no news since. */
+    @Test
+    fun `counts a recheck that reached the end of the stream as a confirmation`() {
+        val store = ScriptedStore(listOf(null, StreamReadResult.Read(emptyList(), 4)))
+        expectThat(follow(store, settings = FollowerSettings.prompt(batchDelayMs = 200)).confirmedAtMs).isEqualTo(RECHECK_MS)
+    }
+
     /** Guards against calls that are charged although nothing was missed. */
     @Test
     fun `rechecks a wait only once`() {
