Believe a target that says in an answer that it leaves

A target that leaves says so in all its answers; the router knew it from the store only. From such an answer on this router gives the process no new work, whatever the store says, until another process takes its place; a holder of keys is used for as long as one that the store says is draining. An answer of another target at the address says nothing about this one.

Tests: RequestRouterTest, given a target that says in an answer that it leaves; without the mechanism those that count further requests fail. Not covered: the answer of a target that refuses a grant (409), and releases.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -166,7 +166,13 @@
         val readiness = httpServer(settings.readyListen, dispatcher, { HttpServerLimits() }, HttpHandler { readinessResponse(it.path) })
         val metrics = httpServer(settings.metricsListen, dispatcher, { HttpServerLimits() }, HttpHandler { metricsResponse(it.path) })
         val relayCalls =
-            relayHandler(directStoreAccess, keyLoadTracker, platform.keyGrantClient, PlannerEndpoint(authority, clusterState, timer))
+            relayHandler(
+                directStoreAccess,
+                keyLoadTracker,
+                directory,
+                platform.keyGrantClient,
+                PlannerEndpoint(authority, clusterState, timer),
+            )
         val relays = httpServer(settings.relayListen, dispatcher, ::relayLimits, relayCalls)
         withContext(dispatcher) {
             startTasks(stop)
@@ -261,13 +267,21 @@
     }
 
     private fun sampleReporter() =
-        KeySampleReporter(settings.node, keyLoadTracker, { clusterState.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
+        KeySampleReporter(
+            settings.node,
+            keyLoadTracker,
+            directory,
+            { clusterState.plannerRelay(exceptNode = settings.node) },
+            relayClient,
+            timer,
+        )
 
     private fun requestRouter(): RequestRouter {
         val coldStartLimiter = ColdStartLimiter(settings.node, settings.coldStartLimits, operators) { clusterState.nodes }
         val chooser = TargetChooser(directory, settings.zone, timer, coldStartLimiter)
         val dependencies = RoutingDependencies(
             operators = operators,
+            directory = directory,
             targetChooser = chooser,
             keyOwnerChooser = KeyOwnerChooser(clusterState, directory, operators, chooser, timer, clusterStateFollower::refresh),
             targetClient = TargetClient(platform.targetClient, settings.headers),
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/Announcement.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/Announcement.kt
@@ -13,6 +13,10 @@
     val madeAfterMs: Long,
     val readAtMs: Long,
 ) {
+    /** Returns the announcement that results from this one and [other], if there is one: the earliest of all times. */
+    fun orEarlier(other: Announcement?): Announcement =
+        if (other == null) this else Announcement(minOf(madeAfterMs, other.madeAfterMs), minOf(readAtMs, other.readAtMs))
+
     companion object {
         /** Returns the announcement in a record that is read at [nowMs] and was written after [writtenAfterMs], or at any time if null. */
         fun read(writtenAfterMs: Long?, nowMs: Long) = Announcement(writtenAfterMs ?: LONG_AGO_MS, nowMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -31,6 +31,10 @@
     var draining: Announcement? = if (entry.isDraining) Announcement.read(writtenAfterMs, seenAtMs) else null
         private set
 
+    /** Whether the target itself has told a router in an answer that it leaves, which it may do long before its entry says so, or without. */
+    var saysItLeaves = false
+        private set
+
     /** This router's requests that the target has not answered yet. */
     var inFlight = 0
         private set
@@ -59,14 +63,23 @@
 
     /** Applies a newer entry of the same incarnation, which was written after [writtenAfterMs], or at any time if that is null. */
     fun update(newer: TargetEntry, nowMs: Long, writtenAfterMs: Long?) {
-        if (newer.isDraining) draining = draining ?: Announcement.read(writtenAfterMs, nowMs)
+        if (newer.isDraining) draining = Announcement.read(writtenAfterMs, nowMs).orEarlier(draining)
         // Without its start, a target that started again at the same address cannot be told from one that goes on.
-        if (!newer.isDraining && newer.bornMs == null) draining = null
+        if (!newer.isDraining && newer.bornMs == null) {
+            draining = null
+            saysItLeaves = false
+        }
         if (newer.coldRemainingMs > 0) markCold(nowMs + newer.coldRemainingMs)
         entry = newer
         removal = null
     }
 
+    /** Records an [announcement] that the target leaves, which came in one of its answers, to this router or another one. */
+    fun recordLeavingAnswer(announcement: Announcement) {
+        saysItLeaves = true
+        draining = announcement.orEarlier(draining)
+    }
+
     /** Marks the target as cold until at least [untilMs]. */
     fun markCold(untilMs: Long) {
         coldUntilMs = max(coldUntilMs, untilMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -39,6 +39,24 @@
     /** Returns whether the target may get requests or keys that it does not own already: it is not draining and its zone is not emptied. */
     fun acceptsNewWork(state: TargetState): Boolean = state.draining == null && !operators.isEmptied(state.entry.zone)
 
+    /** Returns the entries of the targets that have said in an answer that they leave. */
+    fun saidToLeave(): List<TargetEntry> = states.values.filter { it.saysItLeaves }.map { it.entry }
+
+    /**
+     * Records that [state] has said that it leaves in an answer to request [requestId], or to a call of another kind if that is null. The
+     * answer was made after [saidAfterMs], or at any time if that is null.
+     */
+    fun recordLeaving(state: TargetState, saidAfterMs: Long?, requestId: String? = null) {
+        if (state.saysItLeaves) return
+        val nowMs = timer.nowMs()
+        state.recordLeavingAnswer(Announcement.read(saidAfterMs, nowMs))
+        events.log(Events.TARGET_DRAINING) {
+            put("target", state.entry.id)
+            put("request", requestId)
+            put("written_within_ms", saidAfterMs?.let { nowMs - it })
+        }
+    }
+
     /** Returns whether no target is known. */
     fun isEmpty(): Boolean = states.isEmpty()
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/Assignment.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/Assignment.kt
@@ -1,6 +1,8 @@
 package yuccaflow.entry.keys
 
 import kotlinx.serialization.Serializable
+import yuccaflow.entry.balance.TargetState
+import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.directory.TargetEntry
 
 /** The bounds of the key space of a service that is sharded by key, both inclusive. */
@@ -29,6 +31,11 @@
 internal fun incarnationOf(entry: TargetEntry): TargetIncarnation =
     TargetIncarnation(entry.id, entry.bornMs, entry.address.toString(), entry.zone)
 
+/** Returns the state of [holder] in this directory, or null if it is not known or another incarnation has taken its place. */
+internal fun TargetDirectory.find(
+    holder: TargetIncarnation,
+): TargetState? = find(holder.target)?.takeIf { holder.isIncarnationOf(it.entry) }
+
 /** A previous holder of a key range that may still have a valid grant, which it was given with [generation]. */
 @Serializable
 internal data class FormerHolder(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyGrantClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyGrantClient.kt
@@ -18,9 +18,13 @@
 
 /** Result of a grant or release call to a target. */
 sealed interface KeyGrantResult {
-    /** The target executed the call. [handover] is the state of the keys that a release returned, to be passed on to the next holder. */
+    /**
+     * The target executed the call. [handover] is the state of the keys that a release returned, to be passed on to the next holder.
+     * [isLeaving] tells whether the target said that it leaves.
+     */
     data class Done(
         val handover: String?,
+        val isLeaving: Boolean = false,
     ) : KeyGrantResult
 
     /** The target has seen a higher generation for one of the keys. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -174,7 +174,10 @@
             }
         }
         when (result) {
-            is KeyGrantResult.Done -> lastRenewedAtMs[assignment.generation] = timer.nowMs()
+            is KeyGrantResult.Done -> {
+                lastRenewedAtMs[assignment.generation] = timer.nowMs()
+                if (result.isLeaving) directory.find(assignment.holder)?.let { directory.recordLeaving(it, saidAfterMs = null) }
+            }
             is KeyGrantResult.OtherTarget, is KeyGrantResult.ConnectionRefused -> lostHolders[assignment.holder] = timer.nowMs()
             KeyGrantResult.Fenced -> fenced += assignment
             else -> Unit
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -3,11 +3,13 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.keys.FencedKeyRange
 import yuccaflow.entry.keys.KeyGrantClient
 import yuccaflow.entry.keys.KeyGrantResult
 import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.TargetEndpoint
+import yuccaflow.entry.keys.find
 import yuccaflow.http.HttpClient
 import yuccaflow.http.HttpHandler
 import yuccaflow.http.HttpRequest
@@ -55,12 +57,14 @@
 
 /**
  * Returns the handler of other routers' [RelayCall]s: makes their store calls through [storeAccess] while the store is available to this
- * router, adds their key samples to [keyLoadTracker], releases keys at targets through [keyGrantClient], and answers as [planner].
+ * router, adds their key samples to [keyLoadTracker] and the targets that leave to [directory], releases keys at targets through
+ * [keyGrantClient], and answers as [planner].
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun relayHandler(
     storeAccess: DirectStoreAccess,
     keyLoadTracker: KeyLoadTracker,
+    directory: TargetDirectory,
     keyGrantClient: KeyGrantClient,
     planner: PlannerEndpoint,
 ): HttpHandler = HttpHandler { request ->
@@ -70,7 +74,10 @@
         return@HttpHandler HttpResponse(BAD_REQUEST, body = invalid.message.orEmpty().toByteArray())
     }
     val answer = when {
-        call is RelayCall.KeySamples -> RelayAnswer.Done.also { keyLoadTracker.addReport(call.node, call.keys) }
+        call is RelayCall.KeySamples -> RelayAnswer.Done.also {
+            keyLoadTracker.addReport(call.node, call.keys)
+            call.leaving.forEach { holder -> directory.find(holder)?.let { directory.recordLeaving(it, saidAfterMs = null) } }
+        }
         call is RelayCall.Release -> release(keyGrantClient, call)
         call is RelayCall.PlannerState -> RelayAnswer.PlannerState(planner.isActing(call.life))
         call is RelayCall.RouterRecords -> planner.read(call.fromOffset, call.waitMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.serialization.Serializable
+import yuccaflow.entry.keys.TargetIncarnation
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedChange
@@ -74,11 +75,15 @@
         val life: String,
     ) : RelayCall
 
-    /** Reports the keys for which router [node] has received requests, by service. The receiver processes it itself. */
+    /**
+     * Reports the keys for which router [node] has received requests, by service, and the targets that have told it in an answer that they
+     * leave. The receiver processes it itself.
+     */
     @Serializable
     class KeySamples(
         val node: String,
         val keys: Map<String, List<Int>>,
+        val leaving: List<TargetIncarnation> = emptyList(),
     ) : RelayCall
 }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/HeaderNames.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/HeaderNames.kt
@@ -11,6 +11,7 @@
  * @property signature proves that a response comes from a target.
  * @property notRun set by a target that did not run the request.
  * @property instance id of the target that answers.
+ * @property leaving set to `1` by a target that leaves, in all of its answers.
  * @property load the target's load as comma-separated integers: running, waiting, slots and, optionally, the slowdown in percent.
  */
 data class HeaderNames(
@@ -21,5 +22,6 @@
     val signature: String = "Yuccaflow-Signature",
     val notRun: String = "Yuccaflow-Not-Run",
     val instance: String = "Yuccaflow-Instance",
+    val leaving: String = "Yuccaflow-Leaving",
     val load: String = "Yuccaflow-Load",
 )
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -11,6 +11,7 @@
 import yuccaflow.entry.config.Route
 import yuccaflow.entry.config.ServiceConfig
 import yuccaflow.entry.config.ServiceShare
+import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 import yuccaflow.entry.telemetry.RequestOutcome
@@ -29,6 +30,7 @@
  */
 internal class RoutingDependencies(
     val operators: OperatorState,
+    val directory: TargetDirectory,
     val targetChooser: TargetChooser,
     val keyOwnerChooser: KeyOwnerChooser,
     val targetClient: TargetClient,
@@ -145,7 +147,7 @@
         }
         return when (result) {
             is TargetResult.Answered -> answered(exchange, target, result, nowMs, occupancy)
-            is TargetResult.NotRun -> notRun(exchange, target, result)
+            is TargetResult.NotRun -> notRun(exchange, target, result, nowMs)
             is TargetResult.Unknown -> unknown(exchange, target, result)
             TargetResult.Withdrawn -> {
                 logRequest(Events.REQUEST_WITHDRAWN, exchange, target, "the target may not receive it any more, or its time is over")
@@ -180,7 +182,7 @@
         occupancy: Double,
     ): HttpResponse? {
         val nowMs = timer.nowMs()
-        result.load?.let { target.recordLoad(it, nowMs) }
+        recordNotice(exchange, target, result.notice, sentAtMs)
         if (result.response.status >= SERVER_ERROR) {
             recordFailure(target, isUnreachable = false, "status ${result.response.status}")
             exchange.possibleRuns++
@@ -195,8 +197,16 @@
         return result.response
     }
 
-    private suspend fun notRun(exchange: Exchange, target: TargetState, result: TargetResult.NotRun): HttpResponse? {
-        result.load?.let { target.recordLoad(it, timer.nowMs()) }
+    private fun recordNotice(exchange: Exchange, target: TargetState, notice: TargetNotice, sentAtMs: Long) {
+        val nowMs = timer.nowMs()
+        notice.load?.let { target.recordLoad(it, nowMs) }
+        if (!notice.isLeaving || target.saysItLeaves) return
+        dependencies.directory.recordLeaving(target, sentAtMs, exchange.id)
+        dependencies.meters.targetNotice(exchange.serviceConfig.name, "leaving")
+    }
+
+    private suspend fun notRun(exchange: Exchange, target: TargetState, result: TargetResult.NotRun, sentAtMs: Long): HttpResponse? {
+        result.notice?.let { recordNotice(exchange, target, it, sentAtMs) }
         exchange.refusals++
         when (result.cause) {
             NotRunCause.UNREACHABLE -> {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
@@ -22,20 +22,34 @@
     NOT_OWNER,
 }
 
+/**
+ * What a target says about itself in an answer, apart from the outcome of the request.
+ *
+ * @property load its load, or null if it does not tell.
+ * @property isLeaving whether it says that it leaves. It then stays leaving until its process ends.
+ */
+internal class TargetNotice(
+    val load: LoadReport?,
+    val isLeaving: Boolean,
+)
+
 /** Result of sending a request to a target. */
 internal sealed interface TargetResult {
     /** The target ran the request. [response] is complete, and a successful one carries the target's signature. */
     class Answered(
         val response: HttpResponse,
-        val load: LoadReport?,
+        val notice: TargetNotice,
     ) : TargetResult
 
-    /** The request did not run and never will. If it [hasArrived] at the target, another attempt counts against the retry budget. */
+    /**
+     * The request did not run and never will. If it [hasArrived] at the target, another attempt counts against the retry budget. [notice] is
+     * null if the target itself did not answer.
+     */
     class NotRun(
         val cause: NotRunCause,
         val reason: String,
         val hasArrived: Boolean,
-        val load: LoadReport?,
+        val notice: TargetNotice?,
     ) : TargetResult
 
     /** The request was withdrawn right before it would have been sent. */
@@ -67,7 +81,7 @@
                 if (result.isWithdrawn) {
                     TargetResult.Withdrawn
                 } else {
-                    TargetResult.NotRun(NotRunCause.UNREACHABLE, result.reason, hasArrived = false, load = null)
+                    TargetResult.NotRun(NotRunCause.UNREACHABLE, result.reason, hasArrived = false, notice = null)
                 }
             is HttpResult.Unknown -> TargetResult.Unknown(result.reason, isTimeout = result.reason.startsWith(TIMEOUT_REASON_PREFIX))
         }
@@ -80,7 +94,7 @@
     }
 
     private fun classify(target: TargetEntry, response: HttpResponse): TargetResult {
-        val load = response.headers[names.load]?.let(::parseLoad)
+        val notice = TargetNotice(response.headers[names.load]?.let(::parseLoad), response.headers[names.leaving] == LEAVING)
         val isMisdirected = response.status == MISDIRECTED
         if (response.headers[names.notRun] != null || isMisdirected) {
             val answeringInstance = response.headers[names.instance]
@@ -89,7 +103,13 @@
                 answeringInstance != null && answeringInstance != target.id -> NotRunCause.OTHER_INSTANCE
                 else -> NotRunCause.NOT_OWNER
             }
-            return TargetResult.NotRun(cause, "status ${response.status} by ${answeringInstance ?: target.id}", hasArrived = true, load)
+            val ownNotice = notice.takeIf { cause != NotRunCause.OTHER_INSTANCE }
+            return TargetResult.NotRun(
+                cause,
+                "status ${response.status} by ${answeringInstance ?: target.id}",
+                hasArrived = true,
+                ownNotice,
+            )
         }
         val isAuthentic = response.headers[names.signature] != null && response.headers["Content-Encoding"] == null
         if (response.status in SUCCESS_STATUSES &&
@@ -97,7 +117,7 @@
         ) {
             return TargetResult.Unknown("the response is not the target's own", isTimeout = false)
         }
-        return TargetResult.Answered(response, load)
+        return TargetResult.Answered(response, notice)
     }
 
     private fun parseLoad(text: String): LoadReport? {
@@ -108,6 +128,7 @@
 
     private companion object {
         const val MISDIRECTED = 421
+        const val LEAVING = "1"
         const val REQUIRED_LOAD_FIELDS = 3
 
         /** No target has that many requests or is that many percent slower. Sums of two such fields do not overflow. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/RouterMeters.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/RouterMeters.kt
@@ -19,6 +19,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT).apply { config().commonTags("node", node, "zone", zone) }
     private val requestTimers = HashMap<Pair<String, RequestOutcome>, Timer>()
     private val retryCounters = HashMap<String, Counter>()
+    private val noticeCounters = HashMap<Pair<String, String>, Counter>()
 
     /** Records a request for [service] that ended with [outcome] after [elapsedMs]. The latency buckets are multiples of [objectiveMs]. */
     fun request(service: String, outcome: RequestOutcome, elapsedMs: Long, objectiveMs: Long) {
@@ -33,6 +34,17 @@
     fun retry(service: String) =
         retryCounters.getOrPut(service) { Counter.builder("yuccaflow.repeats").tag("service", service).register(registry) }.increment()
 
+    /** Counts a [notice] of a target of [service] about itself. */
+    fun targetNotice(service: String, notice: String) =
+        noticeCounters
+            .getOrPut(service to notice) {
+                Counter
+                    .builder("yuccaflow.target.notices")
+                    .tag("service", service)
+                    .tag("notice", notice)
+                    .register(registry)
+            }.increment()
+
     /** Registers a gauge whose [value] is read at each scrape. */
     fun gauge(name: String, value: () -> Number) {
         Gauge.builder(name) { value() }.register(registry)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
@@ -15,6 +15,9 @@
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import yuccaflow.base.TimerService
+import yuccaflow.entry.config.OperatorState
+import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.LoopbackHttpClient
@@ -56,6 +59,7 @@
                     relayHandler(
                         DirectStoreAccess(peerStore, peerStore, timer, RecordingEventLog()),
                         KeyLoadTracker(timer),
+                        TargetDirectory(FakeRecords, OperatorState(FakeRecords, timer, log), timer, log) { null },
                         StubKeyGrantClient(releaseResult),
                         plannerEndpoint,
                     ),
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
@@ -14,6 +14,9 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import yuccaflow.base.TimerService
+import yuccaflow.entry.config.OperatorState
+import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.LoopbackHttpClient
@@ -61,6 +64,7 @@
             relayHandler(
                 DirectStoreAccess(plannerStore, plannerStore, timer, RecordingEventLog()),
                 KeyLoadTracker(timer),
+                TargetDirectory(FakeRecords, OperatorState(FakeRecords, timer, log), timer, log) { null },
                 StubKeyGrantClient(),
                 PlannerEndpoint(authority, clusterState, timer),
             )
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -6,8 +6,11 @@
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -85,6 +88,7 @@
     private val router = RequestRouter(
         RoutingDependencies(
             operators,
+            directory,
             chooser,
             KeyOwnerChooser(ClusterState(timer, log), directory, operators, chooser, timer) { },
             TargetClient(client, names),
@@ -103,6 +107,9 @@
     private fun served(status: Int = 200) =
         HttpResult.Answered(HttpResponse(status, headersOf(names.signature to "sig"), "body".toByteArray()))
 
+    private fun leaving(status: Int = 200) =
+        HttpResult.Answered(HttpResponse(status, headersOf(names.signature to "sig", names.leaving to "1"), "body".toByteArray()))
+
     private fun shed() = HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1")))
 
     private suspend fun handleRequest(path: String, targets: Int = 3, deadlineMs: Long = 900): HttpResponse {
@@ -112,10 +119,12 @@
         budget.deposit(timer.now)
         timer.now += 1_000
         budget.deposit(timer.now)
-        val headers = headersOf("Host" to "h", names.requestId to "r1", names.deadlineMs to "$deadlineMs")
-        return router.handle(HttpRequest("GET", path, headers))
+        return router.handle(request(path, deadlineMs))
     }
 
+    private fun request(path: String, deadlineMs: Long = 900) =
+        HttpRequest("GET", path, headersOf("Host" to "h", names.requestId to "r1", names.deadlineMs to "$deadlineMs"))
+
     @Nested
     @DisplayName("given a request that is not idempotent")
     inner class AtMostOnce {
@@ -187,6 +196,51 @@
         }
     }
 
+    @Nested
+    @DisplayName("given a target that says in an answer that it leaves")
+    inner class LeavingAnswers {
+        /** Guards against new requests to a target that has told this router that it leaves, while the store does not say so. */
+        @ParameterizedTest
+        @ValueSource(ints = [200, 404, 500])
+        fun `sends it no further request`(status: Int) = runTest {
+            results = { if (it == 1) leaving(status) else served() }
+            handleRequest("/book/1")
+            val leavingAddress = sent.single().first
+            repeat(FURTHER_REQUESTS) { router.handle(request("/book/1")) }
+            expectThat(sent.drop(1).map { it.first }).doesNotContain(leavingAddress)
+            expectThat(log.count("target_draining")).isEqualTo(1)
+        }
+
+        /** Guards against a leaving that is forgotten when the target's entry is listed again. */
+        @Test
+        fun `keeps to it when its entry is listed again`() = runTest {
+            results = { if (it == 1) leaving() else served() }
+            handleRequest("/book/1")
+            handleRequest("/book/1")
+            repeat(FURTHER_REQUESTS) { router.handle(request("/book/1")) }
+            expectThat(sent.drop(1).map { it.first }).doesNotContain(sent.first().first)
+        }
+
+        /** Guards against a leaving that outlives the process: the next one at the address is another target. */
+        @Test
+        fun `uses the next process at its address`() = runTest {
+            results = { if (it == 1) leaving() else served() }
+            handleRequest("/book/1", targets = 1)
+            val change = FakeRecords.targetChange(FakeRecords.entry("t0", 1, bornMs = 9, service = "s"))
+            directory.onRecords(listOf(KeyedRecord(change.key, change.value, 10)), 11)
+            expectThat(router.handle(request("/book/1")).status).isEqualTo(200)
+        }
+
+        /** Guards against an answer of another target, at an address that is used again, that is taken for this one's. */
+        @Test
+        fun `does not believe another target`() = runTest {
+            val answer = headersOf(names.instance to "other", names.leaving to "1", names.notRun to "1")
+            results = { if (it == 1) HttpResult.Answered(HttpResponse(421, answer)) else served() }
+            handleRequest("/book/1")
+            expectThat(log.count("target_draining")).isEqualTo(0)
+        }
+    }
+
     @Nested
     @DisplayName("while it drains")
     inner class Draining {
@@ -405,4 +459,8 @@
         expectThat(router.handle(request).status).isEqualTo(503)
         expectThat(handleRequest("/none/1").status).isEqualTo(404)
     }
+
+    private companion object {
+        const val FURTHER_REQUESTS = 50
+    }
 }
