Send a target nothing while it asks for a pause

A 503 of a target may carry Retry-After: it wants no requests of this router for so long. The value was not read, and after four such answers in a row the target was suspected for 0.25 to 1 s only. Now it gets none until the time is over, not even those that were chosen before, and then gradually more. Other targets take the requests that need no certain one, within the retry budget; a keyed request waits for a pause that ends well before its deadline, or is refused with the rest. A value that is no number of seconds is ignored and counted. Orders for keys are still sent (docs/platform.md says why).

--- a/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Explanation.kt
+++ b/yuccaflow-cli/src/main/kotlin/yuccaflow/cli/Explanation.kt
@@ -154,7 +154,7 @@
 
     private companion object {
         const val REQUEST_EVENT_PREFIX = "request_"
-        val TARGET_EVENTS = setOf("target_seen", "target_draining", "target_gone", "target_suspected", "target_recovered")
+        val TARGET_EVENTS = setOf("target_seen", "target_draining", "target_paused", "target_gone", "target_suspected", "target_recovered")
         val RANGE_EVENTS = setOf("range_assigned", "range_released", "range_granted")
         val STORE_EVENTS = setOf("store_lost", "store_regained", "relay_started", "relay_ended")
         val BACKGROUND_FIELDS =
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -20,6 +20,13 @@
         val reason: String,
         val retryAfterMs: Long,
     ) : TargetChoice
+
+    companion object {
+        /** Callers return somewhat later than in [restMs], at which a pause ends, because the time to return varies in both directions. */
+        fun paused(reason: String, restMs: Long): None = None(reason, restMs + restMs / PAUSE_MARGIN_DIVISOR + 1)
+
+        private const val PAUSE_MARGIN_DIVISOR = 3
+    }
 }
 
 /**
@@ -50,16 +57,22 @@
         val nowMs = timer.nowMs()
         val available = directory.ofService(context.serviceConfig.name).filter { directory.acceptsNewWork(it) }
         if (available.isEmpty()) return TargetChoice.None("the service has no target", NO_TARGET_RETRY_AFTER_MS)
+        val shortestPauseMs = available.minOf { it.pauseRestMs(nowMs) }
+        if (shortestPauseMs > 0) return TargetChoice.paused("all targets of the service have asked for a pause", shortestPauseMs)
         val eligible = available.filter {
-            it !in context.excluded && it.suspectedUntilMs <= nowMs && coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
+            it !in context.excluded &&
+                it.suspectedUntilMs <= nowMs &&
+                it.pauseAllowsRequest(nowMs) &&
+                coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
         }
         val best = eligible.minByOrNull { score(it, context, nowMs) }
-            ?: return TargetChoice.None("all targets are suspected, cold or have been tried", NO_TARGET_RETRY_AFTER_MS)
+            ?: return TargetChoice.None("all targets are suspected, paused, cold or have been tried", NO_TARGET_RETRY_AFTER_MS)
         return admit(best, context, nowMs)
     }
 
     /** Returns whether [target] may still receive a request for which it was chosen. */
-    fun mayReceive(target: TargetState): Boolean = directory.acceptsNewWork(target) && directory.find(target.entry.id) === target
+    fun mayReceive(target: TargetState): Boolean =
+        directory.acceptsNewWork(target) && directory.find(target.entry.id) === target && target.pauseRestMs(timer.nowMs()) == 0L
 
     /**
      * Admits the request to [target] if it is expected to answer in time and its queue is not too long. Takes a cold-start token if the
@@ -71,6 +84,7 @@
         if (expectedMs > context.remainingMs || waiting > target.entry.slots * MAX_WAITING_PER_SLOT) {
             return TargetChoice.None("the targets are full", FULL_RETRY_AFTER_MS)
         }
+        if (!target.pauseAllowsRequest(nowMs)) return TargetChoice.None("the target returns from a pause", FULL_RETRY_AFTER_MS)
         if (!coldStartLimiter.tryAcquire(target, context.serviceConfig, nowMs)) {
             return TargetChoice.None("the target is cold", COLD_RETRY_AFTER_MS)
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -35,6 +35,13 @@
     var saysItLeaves = false
         private set
 
+    /** The last pause for which the target has asked, which may be over, or null if it has asked for none. */
+    var pause: Pause? = null
+        private set
+
+    /** The number of this router's requests that wait for the end of a pause. */
+    var waitingForPause = 0
+
     /** This router's requests that the target has not answered yet. */
     var inFlight = 0
         private set
@@ -80,6 +87,17 @@
         draining = announcement.orEarlier(draining)
     }
 
+    /** Records that the target wants no requests until [untilMs], or later if it has asked for that before. */
+    fun pauseUntil(untilMs: Long) {
+        pause = Pause(untilMs).orLater(pause)
+    }
+
+    /** Returns how much longer the target wants no requests, or 0 if it takes requests. */
+    fun pauseRestMs(nowMs: Long): Long = pause?.restMs(nowMs) ?: 0
+
+    /** Returns whether a pause, or the gradual return of requests after it, allows another request in flight. */
+    fun pauseAllowsRequest(nowMs: Long): Boolean = pause?.let { inFlight < it.maxInFlight(nowMs, entry.slots) } ?: true
+
     /** Marks the target as cold until at least [untilMs]. */
     fun markCold(untilMs: Long) {
         coldUntilMs = max(coldUntilMs, untilMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -55,6 +55,10 @@
             val assignment = clusterState.find(context.serviceConfig.name, key)
             val owner = assignment?.let(::ownerOf)
             val nowMs = timer.nowMs()
+            if (owner != null && !owner.pauseAllowsRequest(nowMs)) {
+                val refusal = waitForPause(owner, context, startedAtMs)
+                if (refusal == null) continue else return refusal
+            }
             if (owner != null && owner.suspectedUntilMs <= nowMs) return chooser.admit(owner, context, nowMs)
             val waitUntilMs = minOf(ownerExpectedAtMs(assignment, startedAtMs), startedAtMs + context.remainingMs / WAIT_DIVISOR)
             if (nowMs >= waitUntilMs) return TargetChoice.None(reasonFor(assignment, owner), NO_OWNER_RETRY_AFTER_MS)
@@ -62,6 +66,26 @@
         }
     }
 
+    /**
+     * Waits until the pause of [owner] is over, or for a moment while its requests return gradually, if that is well before the deadline and
+     * few requests wait already. Returns null after the wait, or at once why the request is to be refused.
+     */
+    private suspend fun waitForPause(owner: TargetState, context: ChoiceContext, startedAtMs: Long): TargetChoice? {
+        val nowMs = timer.nowMs()
+        val restMs = owner.pauseRestMs(nowMs).coerceAtLeast(POLL_INTERVAL_MS)
+        val endsInTime = nowMs + restMs <= startedAtMs + context.remainingMs / WAIT_DIVISOR
+        if (!endsInTime || owner.waitingForPause >= owner.entry.slots) {
+            return TargetChoice.paused("the owner of the key has asked for a pause", restMs)
+        }
+        owner.waitingForPause++
+        try {
+            timer.sleep(restMs)
+        } finally {
+            owner.waitingForPause--
+        }
+        return null
+    }
+
     private fun ownerExpectedAtMs(assignment: Assignment?, startedAtMs: Long): Long {
         if (assignment == null) return startedAtMs + MAX_WAIT_MS
         if (assignment.isMoving) return timer.nowMs() - movingForMs(assignment) + MOVE_DURATION_MS
@@ -99,15 +123,18 @@
         (directory.find(holder.target) ?: directory.findRemoved(holder.target))?.takeIf { holder.isIncarnationOf(it.entry) }
 
     /**
-     * Returns whether an owner may receive requests for its keys now. A leaving owner serves its keys until they have moved, but only while
+     * Returns whether an owner may receive requests for its keys now, as far as it leaves. A leaving owner serves its keys until they have moved, but only while
      * it is certain that the announcement is recent enough.
      */
-    fun mayReceive(owner: TargetState): Boolean {
+    private fun mayReceive(owner: TargetState): Boolean {
         val nowMs = timer.nowMs()
         val emptiedMs = operators.emptied(owner.entry.zone)?.let { nowMs - it.madeAfterMs } ?: 0
         return leavingOf(owner).all { nowMs - it.madeAfterMs < LEAVING_OWNER_USABLE_MS } && emptiedMs < EMPTIED_ZONE_USABLE_MS
     }
 
+    /** Returns whether [owner] may still receive a request for which it was chosen. */
+    fun mayStillReceive(owner: TargetState): Boolean = mayReceive(owner) && owner.pauseRestMs(timer.nowMs()) == 0L
+
     private fun announcementsOf(owner: TargetState): List<Announcement> =
         leavingOf(owner) + listOfNotNull(operators.emptied(owner.entry.zone))
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -160,7 +160,13 @@
     private fun remainingAtSendMs(exchange: Exchange, target: TargetState, chosenAtMs: Long): Long? {
         logIfDelayed(exchange, target, chosenAtMs)
         val mayReceive =
-            if (exchange.key == null) dependencies.targetChooser.mayReceive(target) else dependencies.keyOwnerChooser.mayReceive(target)
+            if (exchange.key ==
+                null
+            ) {
+                dependencies.targetChooser.mayReceive(target)
+            } else {
+                dependencies.keyOwnerChooser.mayStillReceive(target)
+            }
         return (exchange.deadlineAtMs - timer.nowMs()).takeIf { mayReceive && it > 0 }
     }
 
@@ -200,11 +206,27 @@
     private fun recordNotice(exchange: Exchange, target: TargetState, notice: TargetNotice, sentAtMs: Long) {
         val nowMs = timer.nowMs()
         notice.load?.let { target.recordLoad(it, nowMs) }
+        recordPause(exchange, target, notice.pause)
         if (!notice.isLeaving || target.saysItLeaves) return
         dependencies.directory.recordLeaving(target, sentAtMs, exchange.id)
         dependencies.meters.targetNotice(exchange.serviceConfig.name, "leaving")
     }
 
+    private fun recordPause(exchange: Exchange, target: TargetState, request: PauseRequest) {
+        if (request == PauseRequest.None) return
+        val service = exchange.serviceConfig.name
+        if (request !is PauseRequest.Pause) return dependencies.meters.targetNotice(service, "invalid_pause")
+        val wasPaused = target.pauseRestMs(timer.nowMs()) > 0
+        target.pauseUntil(timer.nowMs() + request.durationMs)
+        dependencies.meters.targetNotice(service, "pause")
+        if (wasPaused) return
+        events.log(Events.TARGET_PAUSED) {
+            put("target", target.entry.id)
+            put("request", exchange.id)
+            put("for_ms", request.durationMs)
+        }
+    }
+
     private suspend fun notRun(exchange: Exchange, target: TargetState, result: TargetResult.NotRun, sentAtMs: Long): HttpResponse? {
         result.notice?.let { recordNotice(exchange, target, it, sentAtMs) }
         exchange.refusals++
@@ -214,14 +236,15 @@
                 recordFailure(target, isUnreachable = true, result.reason)
             }
             NotRunCause.OTHER_INSTANCE -> recordFailure(target, isUnreachable = true, result.reason)
-            NotRunCause.SHED -> recordFailure(target, isUnreachable = false, result.reason)
+            // A target that asks for a pause is in order. It gets no requests until the pause is over anyway.
+            NotRunCause.SHED -> if (result.notice?.pause !is PauseRequest.Pause) recordFailure(target, isUnreachable = false, result.reason)
             NotRunCause.NOT_OWNER -> {
                 exchange.key?.let { dependencies.keyOwnerChooser.recordNotOwner(exchange.serviceConfig.name, it, target) }
                 timer.sleep(OWNER_CHANGE_DELAY_MS)
             }
         }
         val hasTriesLeft = exchange.refusals <= MAX_REFUSALS && (exchange.key == null || result.cause == NotRunCause.NOT_OWNER)
-        if (!hasTriesLeft) return refuse(exchange, result.reason, OVERLOAD_RETRY_AFTER_MS)
+        if (!hasTriesLeft) return refuse(exchange, result.reason, retryAfterMs(target))
         if (!result.hasArrived) {
             exchange.tried += target
             return null
@@ -230,6 +253,12 @@
         return null
     }
 
+    /** Returns when a request that only [target] can run may come back: not before its pause is over. */
+    private fun retryAfterMs(target: TargetState): Long {
+        val restMs = target.pauseRestMs(timer.nowMs())
+        return if (restMs > 0) TargetChoice.paused("", restMs).retryAfterMs else OVERLOAD_RETRY_AFTER_MS
+    }
+
     private fun unknown(exchange: Exchange, target: TargetState, result: TargetResult.Unknown): HttpResponse? {
         exchange.possibleRuns++
         recordFailure(target, isUnreachable = false, result.reason)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
@@ -27,10 +27,12 @@
  *
  * @property load its load, or null if it does not tell.
  * @property isLeaving whether it says that it leaves. It then stays leaving until its process ends.
+ * @property pause the pause for which it asks when it turns a request away.
  */
 internal class TargetNotice(
     val load: LoadReport?,
     val isLeaving: Boolean,
+    val pause: PauseRequest,
 )
 
 /** Result of sending a request to a target. */
@@ -94,7 +96,11 @@
     }
 
     private fun classify(target: TargetEntry, response: HttpResponse): TargetResult {
-        val notice = TargetNotice(response.headers[names.load]?.let(::parseLoad), response.headers[names.leaving] == LEAVING)
+        val notice = TargetNotice(
+            load = response.headers[names.load]?.let(::parseLoad),
+            isLeaving = response.headers[names.leaving] == LEAVING,
+            pause = if (response.status == UNAVAILABLE) PauseRequest.of(response.headers) else PauseRequest.None,
+        )
         val isMisdirected = response.status == MISDIRECTED
         if (response.headers[names.notRun] != null || isMisdirected) {
             val answeringInstance = response.headers[names.instance]
@@ -128,6 +134,7 @@
 
     private companion object {
         const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
         const val LEAVING = "1"
         const val REQUIRED_LOAD_FIELDS = 3
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -25,6 +25,7 @@
 
     const val TARGET_SEEN = "target_seen"
     const val TARGET_DRAINING = "target_draining"
+    const val TARGET_PAUSED = "target_paused"
     const val TARGET_GONE = "target_gone"
     const val TARGET_REJECTED = "target_entry_rejected"
     const val TARGET_SUSPECTED = "target_suspected"
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyOwnerChooserTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/KeyOwnerChooserTest.kt
@@ -7,8 +7,10 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import yuccaflow.entry.balance.ChoiceContext
 import yuccaflow.entry.balance.ColdStartLimiter
 import yuccaflow.entry.balance.ColdStartLimits
@@ -201,6 +203,54 @@
         }
     }
 
+    @Nested
+    @DisplayName("given an owner that has asked for a pause")
+    inner class PausedOwner {
+        private fun pauseFor(ms: Long) = directory.find("t1")!!.pauseUntil(timer.now + ms)
+
+        /** Guards against refused requests although their owner takes requests again well before their deadline. */
+        @Test
+        fun `waits for a short pause`() = runTest {
+            pauseFor(100)
+            val askedAtMs = timer.now
+            expectThat(chosenTarget()).isEqualTo("t1")
+            expectThat(timer.now - askedAtMs).isEqualTo(100)
+        }
+
+        /** Guards against callers that wait for a pause that is too long for them. */
+        @Test
+        fun `refuses at once if the pause is long`() = runTest {
+            pauseFor(600)
+            val askedAtMs = timer.now
+            expectThat(chosenTarget()).isNull()
+            expectThat(timer.now).isEqualTo(askedAtMs)
+        }
+
+        /** Guards against a queue that overwhelms the owner when its pause ends. */
+        @Test
+        fun `lets only as many requests wait as it has slots`() = runTest {
+            pauseFor(100)
+            directory.find("t1")!!.waitingForPause = owner.slots
+            expectThat(chosenTarget()).isNull()
+        }
+
+        /** Guards against all requests at once when the pause ends. */
+        @Test
+        fun `admits them gradually after the pause`() = runTest {
+            pauseFor(100)
+            val state = directory.find("t1")!!
+            timer.now += 100
+            state.requestStarted()
+            expectThat(state.pauseAllowsRequest(timer.now)).isFalse()
+            timer.now += 250
+            expectThat(state.pauseAllowsRequest(timer.now)).isTrue()
+            repeat(owner.slots) { state.requestStarted() }
+            expectThat(state.pauseAllowsRequest(timer.now)).isFalse()
+            timer.now += 1_500
+            expectThat(state.pauseAllowsRequest(timer.now)).isTrue()
+        }
+    }
+
     /** Guards against requests that wait in vain while the grant of an unreachable former owner is waited out. */
     @Test
     fun `does not wait for a move that takes long`() = runTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -110,6 +110,9 @@
     private fun leaving(status: Int = 200) =
         HttpResult.Answered(HttpResponse(status, headersOf(names.signature to "sig", names.leaving to "1"), "body".toByteArray()))
 
+    private fun shedWithPause(seconds: String) =
+        HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1", "Retry-After" to seconds)))
+
     private fun shed() = HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1")))
 
     private suspend fun handleRequest(path: String, targets: Int = 3, deadlineMs: Long = 900): HttpResponse {
@@ -196,6 +199,86 @@
         }
     }
 
+    @Nested
+    @DisplayName("given a target that asks for a pause")
+    inner class PausedTargets {
+        private suspend fun sendMany(times: Int = FURTHER_REQUESTS) = repeat(times) { router.handle(request("/book/1")) }
+
+        /** Guards against requests to a target that has asked for none, and against a pause that ends before its time. */
+        @Test
+        fun `sends it nothing until the pause is over`() = runTest {
+            results = { if (it == 1) shedWithPause("2.5") else served() }
+            handleRequest("/book/1", targets = 1)
+            sendMany()
+            timer.now += 2_400
+            sendMany()
+            expectThat(sent).hasSize(1)
+            timer.now += 200
+            sendMany()
+            expectThat(sent.size).isGreaterThan(1)
+        }
+
+        /** Guards against refusals although another target takes requests. */
+        @Test
+        fun `sends the requests to other targets meanwhile`() = runTest {
+            results = { if (it == 1) shedWithPause("2.5") else served() }
+            expectThat(handleRequest("/book/1").status).isEqualTo(200)
+            sendMany()
+            expectThat(sent.count { it.first == sent.first().first }).isEqualTo(1)
+            expectThat(sent).hasSize(FURTHER_REQUESTS + 2)
+        }
+
+        /** Guards against the end of a longer pause that a shorter one brings forward. */
+        @Test
+        fun `keeps to the latest end`() = runTest {
+            results = { if (it <= 2) shedWithPause(if (it == 1) "2" else "0.5") else served() }
+            handleRequest("/book/1", targets = 1)
+            timer.now += 2_000
+            router.handle(request("/book/1"))
+            sent.clear()
+            timer.now += 400
+            expectThat(router.handle(request("/book/1")).status).isEqualTo(503)
+            expectThat(sent).hasSize(0)
+        }
+
+        /** Guards against callers that wait or come back although no target takes requests. */
+        @Test
+        fun `refuses at once with the shortest rest if all have asked`() = runTest {
+            results = { shedWithPause(if (it == 1) "4" else "3") }
+            handleRequest("/book/1", targets = 2)
+            sent.clear()
+            val askedAtMs = timer.now
+            val response = router.handle(request("/book/1"))
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers["Retry-After"]!!.toDouble()).isGreaterThan(2.9).isLessThan(5.1)
+            expectThat(timer.now).isEqualTo(askedAtMs)
+            expectThat(sent).hasSize(0)
+        }
+
+        /** Guards against a request that was chosen before the pause and leaves the router within it. */
+        @Test
+        fun `withdraws a request that waits for a connection to it`() = runTest {
+            var isFirst = true
+            waitForConnection = { address ->
+                if (isFirst) directory.ofService("s").first { it.entry.address == address }.pauseUntil(timer.now + 5_000)
+                isFirst = false
+            }
+            expectThat(handleRequest("/book/1").status).isEqualTo(200)
+            expectThat(sent).hasSize(1)
+        }
+
+        /** Guards against a target that is suspected of a failure because it has asked for a pause. */
+        @Test
+        fun `does not suspect it`() = runTest {
+            results = { shedWithPause("0.01") }
+            repeat(10) {
+                handleRequest("/book/1", targets = 1)
+                timer.now += 3_000
+            }
+            expectThat(log.count("target_suspected")).isEqualTo(0)
+        }
+    }
+
     @Nested
     @DisplayName("given a target that says in an answer that it leaves")
     inner class LeavingAnswers {
