Choose hosts with a wide link for the planner

Its link has 10 Mbit/s; between 20.5 and 32 s the routers' stream grew by at least 80 records, which it passed on to 87 routers (reckoned: 3 MB, 2.5 s of its link). So the link, not the processor, was full; that is reckoned from record counts, not measured on the link.

Only the processor counted for where the planner runs: hosts of 0.75 of a core with 10 Mbit/s stood beside those with 200. Membership records carry the link's bandwidth now, and the scarcer of both counts, relative to the largest host.

Tests: two in PlannerCandidacyTest; they need the new argument, so they were not run against the code before, which takes the processor alone.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -19,6 +19,7 @@
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.keys.ClusterState
 import yuccaflow.entry.keys.ElectionDependencies
+import yuccaflow.entry.keys.HostCapacity
 import yuccaflow.entry.keys.KeyGrantClient
 import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.KeyOwnershipSettings
@@ -69,7 +70,7 @@
  * Settings of a [Gateway].
  *
  * @property node name of the host, which stays the same across restarts.
- * @property capacityCores processing capacity of the host, in cores.
+ * @property capacity what the host can do, from which the routers choose where the planner runs.
  * @property callerListen address for callers' requests.
  * @property relayListen address on which this router relays other routers' calls to the store.
  * @property seedRelays relay addresses of some other routers, used until their membership records have been read.
@@ -79,7 +80,7 @@
 data class GatewaySettings(
     val node: String,
     val zone: String,
-    val capacityCores: Double,
+    val capacity: HostCapacity,
     val callerListen: SocketAddress,
     val readyListen: SocketAddress,
     val relayListen: SocketAddress,
@@ -136,7 +137,7 @@
         PlannerAuthority(settings.node, incarnationId, clusterState, timer, System::currentTimeMillis, keyOwnershipSettings, events) {
             clusterStateFollower.confirmedAtMs
         }
-    private val candidacy = PlannerCandidacy(settings.capacityCores, clusterState, timer, keyOwnershipSettings) {
+    private val candidacy = PlannerCandidacy(settings.capacity, clusterState, timer, keyOwnershipSettings) {
         clusterStateStore.plannerSilentSinceMs
     }
     private val election =
@@ -234,7 +235,8 @@
     /** Adds this router to the members. Limits that all routers share are divided by the number of members. */
     private suspend fun announceMember() {
         while (clusterState.endOffset == null) timer.sleep(ANNOUNCE_RETRY_MS)
-        val member = RouterMember(settings.node, settings.zone, settings.relayListen.toString(), settings.capacityCores)
+        val capacity = settings.capacity
+        val member = RouterMember(settings.node, settings.zone, settings.relayListen.toString(), capacity.cores, capacity.linkMbps)
         while (!clusterState.hasMember(member)) {
             val result = storeAccess.append(KeyedStream.ROUTERS, listOf(ClusterState.memberChange(member)), null)
             if (result is KeyedAppendResult.Appended) return
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -40,6 +40,7 @@
  *
  * @property relay the address at which the router forwards other routers' calls to the store.
  * @property capacityCores processing capacity of the host, in cores, or 0 if the router did not report it.
+ * @property linkMbps bandwidth of the host's link, in Mbit/s, or 0 if the router did not report it.
  */
 @Serializable
 internal data class RouterMember(
@@ -47,7 +48,11 @@
     val zone: String,
     val relay: String,
     val capacityCores: Double = 0.0,
-)
+    val linkMbps: Double = 0.0,
+) {
+    /** The capacity of the host. */
+    val capacity: HostCapacity get() = HostCapacity(capacityCores, linkMbps)
+}
 
 /** The state read from the routers' stream: the planner, the member routers and the assignments of all key ranges. */
 internal class ClusterState(
@@ -71,8 +76,8 @@
     /** The number of routers that have ever been members, including those that were removed for good, but at least 1. */
     val memberCount: Int get() = members.size.coerceAtLeast(1)
 
-    /** The processing capacity of the largest host of a router that has ever been a member, in cores. */
-    val maxCapacityCores: Double get() = members.values.maxOfOrNull { it.capacityCores } ?: 0.0
+    /** The capacities of the hosts of all routers that have ever been members. */
+    val capacities: List<HostCapacity> get() = members.values.map { it.capacity }
 
     /** The names of the routers that have ever been members. */
     val nodes: Set<String> get() = members.keys
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
@@ -7,11 +7,11 @@
  * which a small host cannot do beside its callers' requests: grants would expire and keys would move late. So routers on small hosts stand
  * only while no planner answers.
  *
- * @property capacityCores processing capacity of this host, in cores.
+ * @property capacity capacity of this host.
  * @property plannerSilentSinceMs returns since when no planner has answered this router, or null while the planner answers.
  */
 internal class PlannerCandidacy(
-    private val capacityCores: Double,
+    private val capacity: HostCapacity,
     private val clusterState: ClusterState,
     private val timer: TimerService,
     private val settings: KeyOwnershipSettings,
@@ -28,10 +28,15 @@
         return isLargeHost() || nowMs - silentSinceMs >= settings.smallHostDelayMs
     }
 
-    private fun isLargeHost(): Boolean = capacityCores >= LARGE_HOST_SHARE * clusterState.maxCapacityCores
+    /** The planner talks to all targets and routers, so its host needs a wide link as well as a fast processor. */
+    private fun isLargeHost(): Boolean {
+        val known = clusterState.capacities + capacity
+        val largest = HostCapacity.largestOf(known)
+        return capacity.fractionOf(largest) >= LARGE_HOST_SHARE * known.maxOf { it.fractionOf(largest) }
+    }
 
     private companion object {
-        /** Share of the capacity of the largest host from which a host counts as large. */
+        /** Share of the capacity of the largest host from which on a host counts as large. */
         const val LARGE_HOST_SHARE = 0.5
     }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
@@ -20,11 +20,11 @@
     private val clusterState = ClusterState(timer, RecordingEventLog())
     private var silentSinceMs: Long? = null
 
-    private fun candidacy(capacityCores: Double) =
-        PlannerCandidacy(capacityCores, clusterState, timer, settings) { silentSinceMs }
+    private fun candidacy(cores: Double, linkMbps: Double = 0.0) =
+        PlannerCandidacy(HostCapacity(cores, linkMbps), clusterState, timer, settings) { silentSinceMs }
 
-    private fun addMember(node: String, capacityCores: Double) = apply(
-        ClusterState.memberChange(RouterMember(node, "a", "10.0.0.1:80", capacityCores)),
+    private fun addMember(node: String, cores: Double, linkMbps: Double = 0.0) = apply(
+        ClusterState.memberChange(RouterMember(node, "a", "10.0.0.1:80", cores, linkMbps)),
     )
 
     private fun addPlanner() = apply(ClusterState.plannerChange(PlannerTerm("large", "life", 1)))
@@ -50,6 +50,26 @@
             expectThat(candidacy(0.75).stands()).isTrue()
         }
 
+        /** Guards against a planner whose link is full when many keys move, so that it reads and renews seconds late. */
+        @Test
+        fun `only on a host with a wide link`() {
+            addMember("wide", 1.5, linkMbps = 200.0)
+            addMember("narrow", 0.75, linkMbps = 10.0)
+            addPlanner()
+            expectThat(candidacy(0.75, linkMbps = 10.0).stands()).isFalse()
+            expectThat(candidacy(0.75, linkMbps = 200.0).stands()).isTrue()
+        }
+
+        /** Guards against a group without candidates if no host has both a fast processor and a wide link. */
+        @Test
+        fun `on the best hosts if none is the best in everything`() {
+            addMember("fast", 2.0, linkMbps = 50.0)
+            addMember("wide", 0.2, linkMbps = 200.0)
+            addPlanner()
+            expectThat(candidacy(2.0, linkMbps = 50.0).stands()).isTrue()
+            expectThat(candidacy(0.2, linkMbps = 200.0).stands()).isFalse()
+        }
+
         /** Guards against a group without candidates if all hosts are alike or do not report their capacity. */
         @Test
         fun `on any host if all are alike`() {
