Split the tests of the request router, shorten four lines, and name the owner's presence

Its fixture and the tests of what targets say and of waits for a connection have files of their own; no test changed. No behaviour changes.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -31,7 +31,7 @@
     var draining: Announcement? = if (entry.isDraining) Announcement.read(writtenAfterMs, seenAtMs) else null
         private set
 
-    /** Whether the target itself has told a router in an answer that it leaves, which it may do long before its entry says so, or without. */
+    /** Whether the target has told a router in an answer that it leaves. Its entry may say so much later, or never. */
     var saysItLeaves = false
         private set
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Waits until the pause of [owner] is over, or for a moment while its requests return gradually, if that is well before the deadline and
-     * few requests wait already. Returns null after the wait, or at once why the request is to be refused.
+     * Waits until the pause of [owner] is over, or for a moment while its requests return gradually, if that is well before the deadline
+     * and few requests wait already. Returns null after the wait, or at once why the request is to be refused.
      */
     private suspend fun waitForPause(owner: TargetState, context: ChoiceContext, startedAtMs: Long): TargetChoice? {
         val nowMs = timer.nowMs()
@@ -117,23 +117,23 @@
         return if (isAwaitingGrant(assignment)) null else stateOf(assignment.holder)
     }
 
-    private fun stateOf(holder: TargetIncarnation): TargetState? = incarnationOf(holder)?.takeIf(::mayReceive)
+    private fun stateOf(holder: TargetIncarnation): TargetState? = incarnationOf(holder)?.takeIf(::isStillPresent)
 
     private fun incarnationOf(holder: TargetIncarnation): TargetState? =
         (directory.find(holder.target) ?: directory.findRemoved(holder.target))?.takeIf { holder.isIncarnationOf(it.entry) }
 
     /**
-     * Returns whether an owner may receive requests for its keys now, as far as it leaves. A leaving owner serves its keys until they have moved, but only while
-     * it is certain that the announcement is recent enough.
+     * Returns whether an owner has not left yet. A leaving owner serves its keys until they have moved, but only while it is certain that
+     * the announcement is recent enough.
      */
-    private fun mayReceive(owner: TargetState): Boolean {
+    private fun isStillPresent(owner: TargetState): Boolean {
         val nowMs = timer.nowMs()
         val emptiedMs = operators.emptied(owner.entry.zone)?.let { nowMs - it.madeAfterMs } ?: 0
         return leavingOf(owner).all { nowMs - it.madeAfterMs < LEAVING_OWNER_USABLE_MS } && emptiedMs < EMPTIED_ZONE_USABLE_MS
     }
 
     /** Returns whether [owner] may still receive a request for which it was chosen. */
-    fun mayStillReceive(owner: TargetState): Boolean = mayReceive(owner) && owner.pauseRestMs(timer.nowMs()) == 0L
+    fun mayReceive(owner: TargetState): Boolean = isStillPresent(owner) && owner.pauseRestMs(timer.nowMs()) == 0L
 
     private fun announcementsOf(owner: TargetState): List<Announcement> =
         leavingOf(owner) + listOfNotNull(operators.emptied(owner.entry.zone))
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -165,7 +165,7 @@
             ) {
                 dependencies.targetChooser.mayReceive(target)
             } else {
-                dependencies.keyOwnerChooser.mayStillReceive(target)
+                dependencies.keyOwnerChooser.mayReceive(target)
             }
         return (exchange.deadlineAtMs - timer.nowMs()).takeIf { mayReceive && it > 0 }
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetClient.kt
@@ -44,8 +44,8 @@
     ) : TargetResult
 
     /**
-     * The request did not run and never will. If it [hasArrived] at the target, another attempt counts against the retry budget. [notice] is
-     * null if the target itself did not answer.
+     * The request did not run and never will. If it [hasArrived] at the target, another attempt counts against the retry budget.
+     * [notice] is null if the target itself did not answer.
      */
     class NotRun(
         val cause: NotRunCause,
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -1,133 +1,26 @@
 package yuccaflow.entry.routing
 
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.params.ParameterizedTest
-import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
-import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
-import yuccaflow.entry.balance.ColdStartLimiter
-import yuccaflow.entry.balance.ColdStartLimits
-import yuccaflow.entry.balance.TargetChooser
-import yuccaflow.entry.config.CallerLimits
-import yuccaflow.entry.config.OperatorState
-import yuccaflow.entry.config.RequestKind
-import yuccaflow.entry.config.Route
-import yuccaflow.entry.config.RoutingTable
-import yuccaflow.entry.config.ServiceShare
-import yuccaflow.entry.directory.OperatorRecord
-import yuccaflow.entry.directory.RecordDecoder
-import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.fake.FakeRecords
-import yuccaflow.entry.fake.ManualTimer
-import yuccaflow.entry.fake.RecordingEventLog
-import yuccaflow.entry.keys.ClusterState
 import yuccaflow.entry.store.KeyedRecord
-import yuccaflow.entry.telemetry.RouterMeters
-import yuccaflow.http.HttpClient
 import yuccaflow.http.HttpRequest
 import yuccaflow.http.HttpResponse
 import yuccaflow.http.HttpResult
-import yuccaflow.http.SocketAddress
 import yuccaflow.http.headersOf
 
 @DisplayName("The request router")
-class RequestRouterTest {
-    private val names = HeaderNames()
-    private val timer = ManualTimer(1_000)
-    private val log = RecordingEventLog()
-    private val sent = ArrayList<Pair<SocketAddress, HttpRequest>>()
-    private var results: (Int) -> HttpResult = { served() }
-    private var waitForConnection: (SocketAddress) -> Unit = { }
-
-    private object FixedTableDecoder : RecordDecoder by FakeRecords {
-        override fun decodeOperatorRecord(key: String, value: ByteArray?): OperatorRecord = OperatorRecord.Table(
-            RoutingTable(
-                1,
-                persistentListOf(route("read", RequestKind.IDEMPOTENT), route("book", RequestKind.NON_IDEMPOTENT)),
-                persistentMapOf("s" to FakeRecords.serviceConfig("s")),
-                CallerLimits(8_192, 65_536, 1_000, 1_000),
-            ),
-        )
-
-        private fun route(name: String, kind: RequestKind) =
-            Route(name, "h", "/$name/", kind, 1_000, 200, 2, 1, persistentListOf(ServiceShare("s", 1.0)))
-    }
-
-    private val client = object : HttpClient {
-        override suspend fun send(
-            address: SocketAddress,
-            request: HttpRequest,
-            timeoutMs: Long,
-            expectedRequestId: String?,
-            prepare: (HttpRequest) -> HttpRequest?,
-        ): HttpResult {
-            waitForConnection(address)
-            val prepared = prepare(request) ?: return HttpResult.NotSent("withdrawn", isWithdrawn = true)
-            sent += address to prepared
-            return results(sent.size)
-        }
-
-        override suspend fun close() = Unit
-    }
-
-    private val operators = OperatorState(FixedTableDecoder, timer, log)
-    private val directory = TargetDirectory(FixedTableDecoder, operators, timer, log) { null }
-    private val chooser = TargetChooser(directory, "a", timer, ColdStartLimiter("n", ColdStartLimits(1.5, 5.0), operators) { setOf("n") })
-    private val router = RequestRouter(
-        RoutingDependencies(
-            operators,
-            directory,
-            chooser,
-            KeyOwnerChooser(ClusterState(timer, log), directory, operators, chooser, timer) { },
-            TargetClient(client, names),
-            { budget },
-            { _, _ -> },
-            RouterMeters("n", "a"),
-            { drainEndsAtMs },
-        ),
-        names,
-        timer,
-        log,
-    )
-    private var drainEndsAtMs: Long? = null
-    private var budget = RetryBudget(RetryBudgetSettings(share = 1.0, extraSends = 100.0, windowMs = 1_000)) { 1 }
-
-    private fun served(status: Int = 200) =
-        HttpResult.Answered(HttpResponse(status, headersOf(names.signature to "sig"), "body".toByteArray()))
-
-    private fun leaving(status: Int = 200) =
-        HttpResult.Answered(HttpResponse(status, headersOf(names.signature to "sig", names.leaving to "1"), "body".toByteArray()))
-
-    private fun shedWithPause(seconds: String) =
-        HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1", "Retry-After" to seconds)))
-
-    private fun shed() = HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1")))
-
-    private suspend fun handleRequest(path: String, targets: Int = 3, deadlineMs: Long = 900): HttpResponse {
-        operators.onSnapshot(listOf(KeyedRecord("table", ByteArray(0), 0)), 1)
-        val entries = List(targets) { FakeRecords.targetChange(FakeRecords.entry("t$it", it + 1, service = "s")) }
-        directory.onSnapshot(entries.mapIndexed { index, change -> KeyedRecord(change.key, change.value, index.toLong()) }, 9)
-        budget.deposit(timer.now)
-        timer.now += 1_000
-        budget.deposit(timer.now)
-        return router.handle(request(path, deadlineMs))
-    }
-
-    private fun request(path: String, deadlineMs: Long = 900) =
-        HttpRequest("GET", path, headersOf("Host" to "h", names.requestId to "r1", names.deadlineMs to "$deadlineMs"))
-
+internal class RequestRouterTest : RequestRouterFixture() {
     @Nested
     @DisplayName("given a request that is not idempotent")
     inner class AtMostOnce {
@@ -163,167 +56,6 @@
         }
     }
 
-    @Nested
-    @DisplayName("given a request that waits for a connection")
-    inner class WaitingForConnection {
-        /** Guards against requests to a target that began to leave after it was chosen. */
-        @Test
-        fun `sends it to another target if its target begins to drain meanwhile`() = runTest {
-            val drained = ArrayList<SocketAddress>()
-            waitForConnection = { address ->
-                val entry = directory.ofService("s").map { it.entry }.first { it.address == address }
-                val change = FakeRecords.targetChange(entry.copy(isDraining = true))
-                if (drained.isEmpty()) directory.onRecords(listOf(KeyedRecord(change.key, change.value, 10)), 11, timer.now)
-                drained += address
-            }
-            expectThat(handleRequest("/book/1").status).isEqualTo(200)
-            expectThat(sent.map { it.first }).containsExactly(drained.last())
-            expectThat(drained.toSet()).hasSize(2)
-        }
-
-        /** Guards against work for a caller whose time is over. */
-        @Test
-        fun `does not send it after its deadline`() = runTest {
-            waitForConnection = { timer.now += 900 }
-            val response = handleRequest("/book/1", deadlineMs = 900)
-            expectThat(response.status).isEqualTo(503)
-            expectThat(sent).hasSize(0)
-        }
-
-        /** Guards against a target that works on after the deadline because it was told the time before the wait. */
-        @Test
-        fun `tells the target the time that is left after the wait`() = runTest {
-            waitForConnection = { timer.now += 300 }
-            handleRequest("/book/1", deadlineMs = 905)
-            expectThat(sent.single().second.headers[names.deadlineMs]).isEqualTo("600")
-        }
-    }
-
-    @Nested
-    @DisplayName("given a target that asks for a pause")
-    inner class PausedTargets {
-        private suspend fun sendMany(times: Int = FURTHER_REQUESTS) = repeat(times) { router.handle(request("/book/1")) }
-
-        /** Guards against requests to a target that has asked for none, and against a pause that ends before its time. */
-        @Test
-        fun `sends it nothing until the pause is over`() = runTest {
-            results = { if (it == 1) shedWithPause("2.5") else served() }
-            handleRequest("/book/1", targets = 1)
-            sendMany()
-            timer.now += 2_400
-            sendMany()
-            expectThat(sent).hasSize(1)
-            timer.now += 200
-            sendMany()
-            expectThat(sent.size).isGreaterThan(1)
-        }
-
-        /** Guards against refusals although another target takes requests. */
-        @Test
-        fun `sends the requests to other targets meanwhile`() = runTest {
-            results = { if (it == 1) shedWithPause("2.5") else served() }
-            expectThat(handleRequest("/book/1").status).isEqualTo(200)
-            sendMany()
-            expectThat(sent.count { it.first == sent.first().first }).isEqualTo(1)
-            expectThat(sent).hasSize(FURTHER_REQUESTS + 2)
-        }
-
-        /** Guards against the end of a longer pause that a shorter one brings forward. */
-        @Test
-        fun `keeps to the latest end`() = runTest {
-            results = { if (it <= 2) shedWithPause(if (it == 1) "2" else "0.5") else served() }
-            handleRequest("/book/1", targets = 1)
-            timer.now += 2_000
-            router.handle(request("/book/1"))
-            sent.clear()
-            timer.now += 400
-            expectThat(router.handle(request("/book/1")).status).isEqualTo(503)
-            expectThat(sent).hasSize(0)
-        }
-
-        /** Guards against callers that wait or come back although no target takes requests. */
-        @Test
-        fun `refuses at once with the shortest rest if all have asked`() = runTest {
-            results = { shedWithPause(if (it == 1) "4" else "3") }
-            handleRequest("/book/1", targets = 2)
-            sent.clear()
-            val askedAtMs = timer.now
-            val response = router.handle(request("/book/1"))
-            expectThat(response.status).isEqualTo(503)
-            expectThat(response.headers["Retry-After"]!!.toDouble()).isGreaterThan(2.9).isLessThan(5.1)
-            expectThat(timer.now).isEqualTo(askedAtMs)
-            expectThat(sent).hasSize(0)
-        }
-
-        /** Guards against a request that was chosen before the pause and leaves the router within it. */
-        @Test
-        fun `withdraws a request that waits for a connection to it`() = runTest {
-            var isFirst = true
-            waitForConnection = { address ->
-                if (isFirst) directory.ofService("s").first { it.entry.address == address }.pauseUntil(timer.now + 5_000)
-                isFirst = false
-            }
-            expectThat(handleRequest("/book/1").status).isEqualTo(200)
-            expectThat(sent).hasSize(1)
-        }
-
-        /** Guards against a target that is suspected of a failure because it has asked for a pause. */
-        @Test
-        fun `does not suspect it`() = runTest {
-            results = { shedWithPause("0.01") }
-            repeat(10) {
-                handleRequest("/book/1", targets = 1)
-                timer.now += 3_000
-            }
-            expectThat(log.count("target_suspected")).isEqualTo(0)
-        }
-    }
-
-    @Nested
-    @DisplayName("given a target that says in an answer that it leaves")
-    inner class LeavingAnswers {
-        /** Guards against new requests to a target that has told this router that it leaves, while the store does not say so. */
-        @ParameterizedTest
-        @ValueSource(ints = [200, 404, 500])
-        fun `sends it no further request`(status: Int) = runTest {
-            results = { if (it == 1) leaving(status) else served() }
-            handleRequest("/book/1")
-            val leavingAddress = sent.single().first
-            repeat(FURTHER_REQUESTS) { router.handle(request("/book/1")) }
-            expectThat(sent.drop(1).map { it.first }).doesNotContain(leavingAddress)
-            expectThat(log.count("target_draining")).isEqualTo(1)
-        }
-
-        /** Guards against a leaving that is forgotten when the target's entry is listed again. */
-        @Test
-        fun `keeps to it when its entry is listed again`() = runTest {
-            results = { if (it == 1) leaving() else served() }
-            handleRequest("/book/1")
-            handleRequest("/book/1")
-            repeat(FURTHER_REQUESTS) { router.handle(request("/book/1")) }
-            expectThat(sent.drop(1).map { it.first }).doesNotContain(sent.first().first)
-        }
-
-        /** Guards against a leaving that outlives the process: the next one at the address is another target. */
-        @Test
-        fun `uses the next process at its address`() = runTest {
-            results = { if (it == 1) leaving() else served() }
-            handleRequest("/book/1", targets = 1)
-            val change = FakeRecords.targetChange(FakeRecords.entry("t0", 1, bornMs = 9, service = "s"))
-            directory.onRecords(listOf(KeyedRecord(change.key, change.value, 10)), 11)
-            expectThat(router.handle(request("/book/1")).status).isEqualTo(200)
-        }
-
-        /** Guards against an answer of another target, at an address that is used again, that is taken for this one's. */
-        @Test
-        fun `does not believe another target`() = runTest {
-            val answer = headersOf(names.instance to "other", names.leaving to "1", names.notRun to "1")
-            results = { if (it == 1) HttpResult.Answered(HttpResponse(421, answer)) else served() }
-            handleRequest("/book/1")
-            expectThat(log.count("target_draining")).isEqualTo(0)
-        }
-    }
-
     @Nested
     @DisplayName("while it drains")
     inner class Draining {
@@ -542,8 +274,4 @@
         expectThat(router.handle(request).status).isEqualTo(503)
         expectThat(handleRequest("/none/1").status).isEqualTo(404)
     }
-
-    private companion object {
-        const val FURTHER_REQUESTS = 50
-    }
 }
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -251,7 +251,7 @@
         expectThat(received.get(LONG_MS, TimeUnit.MILLISECONDS)).isEqualTo(false)
     }
 
-    /** Guards against a server that works past the deadline because the deadline in the request was set before the wait for a connection. */
+    /** Guards against a server that works past the deadline because the request states the time left before the wait for a connection. */
     @Test
     fun `sends what is prepared right before the request is written`() {
         val received = CompletableFuture<String>()
