Leave the first election to large hosts

Routers on small hosts stand when no planner has answered for 1.5 s, and before the first planner none has answered since the start, so all hosts stood at once when the capacities were known. The silence counts from the first possible election now.

Test in PlannerCandidacyTest; failed before.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
@@ -22,9 +22,10 @@
     /** Returns whether this router should be a member of the group from which the planner is chosen. */
     fun stands(): Boolean {
         val nowMs = timer.nowMs()
-        // In the first moments of the system, the capacities of the other hosts are not known yet.
-        if (clusterState.planner == null && nowMs - startedAtMs < settings.capacitiesKnownMs) return false
-        val silentSinceMs = plannerSilentSinceMs() ?: nowMs
+        // In the first moments of the system, the capacities of the other hosts are not known yet, and no planner can answer.
+        val firstElectionAtMs = if (clusterState.planner == null) startedAtMs + settings.capacitiesKnownMs else startedAtMs
+        if (nowMs < firstElectionAtMs) return false
+        val silentSinceMs = maxOf(plannerSilentSinceMs() ?: nowMs, firstElectionAtMs)
         return isLargeHost() || nowMs - silentSinceMs >= settings.smallHostDelayMs
     }
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
@@ -93,6 +93,20 @@
         expectThat(small.stands()).isTrue()
     }
 
+    /** Guards against a first planner on a small host because no planner has answered since the start of the system. */
+    @Test
+    fun `at the first start only on a large host, until large ones have had time to claim the role`() {
+        addMember("large", 1.5)
+        silentSinceMs = timer.nowMs()
+        val small = candidacy(0.225)
+        val large = candidacy(1.5)
+        advance(settings.capacitiesKnownMs)
+        expectThat(large.stands()).isTrue()
+        expectThat(small.stands()).isFalse()
+        advance(settings.smallHostDelayMs)
+        expectThat(small.stands()).isTrue()
+    }
+
     /** Guards against a first planner on a small host because the membership records of the large ones have not been read yet. */
     @Test
     fun `only after the capacities of the other hosts can be known`() {
