Keep the first wait after records short

Version 56 is read by eight routers at 41.09 s, version 58 is acknowledged at 41.67, and all eight read it at 44.34 together with version 62. Their waits had begun at 41.14, the rechecks at 41.54: a wait missed an append that came after both. That the wait only misses appends under way at its begin, as the recheck assumes, does not hold. Before, a wait of 0.7 s after records hid it: it ended at 41.84 and the next read had the version.

Test in StreamFollowerTest; failed before.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -50,11 +50,10 @@
         private const val RECHECK_AFTER_MS = 400L
 
         /**
-         * Settings for a stream whose records take effect within two seconds. Each wait is rechecked, so the first one after records need
-         * not be short.
+         * Settings for a stream whose records take effect within two seconds. The first wait after records is short also where waits are
+         * rechecked, because a wait may miss an append that comes after its recheck.
          */
-        fun prompt(batchDelayMs: Long) =
-            FollowerSettings(batchDelayMs = batchDelayMs, recheckAfterMs = RECHECK_AFTER_MS).let { it.copy(catchUpWaitMs = it.waitMs) }
+        fun prompt(batchDelayMs: Long) = FollowerSettings(batchDelayMs = batchDelayMs, recheckAfterMs = RECHECK_AFTER_MS)
     }
 }
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFollowerTest.kt
@@ -104,6 +104,14 @@
         expectThat(listener.offsets).containsExactly(3L, 4L, 5L)
     }
 
+    /** Guards against a routing table that is read when the next one comes, because a long wait missed it after its recheck. */
+    @Test
+    fun `reads again soon after records also where waits are rechecked`() {
+        val store = ScriptedStore(listOf(StreamReadResult.Read(listOf(record("a", 4)), 5)))
+        follow(store, forMs = 1_000, FollowerSettings.prompt(batchDelayMs = 50))
+        expectThat(store.reads[1].second).isLessThanOrEqualTo(1_000)
+    }
+
     /** Guards against an announcement that is reckoned from long before, although the stream was found to have no news since. */
     @Test
     fun `counts a recheck that reached the end of the stream as a confirmation`() {
