Give what a router has read of a stream an age, and let routers tell each other how far they have read

What callers saw: a route that had been added was refused with 404 seconds after the change was acknowledged (CONFIG), requests reached targets that had said they leave (DRAIN).

Cause: a long-polling read was the only way to hear of an append, and its silence was taken for 'no news'.

Change: a follower knows since when nobody has confirmed that it has all records. Own reads and positions told by other routers renew that; after 1.5 s without either it reads without a wait. Routers tell their positions in the reports to the planner and read them in its answers, or exchange them with another router while no planner answers. Only own reads count for the planner's authority, as before.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -31,12 +31,13 @@
 import yuccaflow.entry.keys.RouterMember
 import yuccaflow.entry.peer.DirectStoreAccess
 import yuccaflow.entry.peer.FailoverStoreAccess
-import yuccaflow.entry.peer.KeySampleReporter
 import yuccaflow.entry.peer.PlannerBackedStore
 import yuccaflow.entry.peer.PlannerEndpoint
 import yuccaflow.entry.peer.RelayClient
 import yuccaflow.entry.peer.RelayPlannerProbe
 import yuccaflow.entry.peer.RelaySameZoneRelease
+import yuccaflow.entry.peer.RouterReporter
+import yuccaflow.entry.peer.StreamPositions
 import yuccaflow.entry.peer.relayHandler
 import yuccaflow.entry.routing.HeaderNames
 import yuccaflow.entry.routing.KeyOwnerChooser
@@ -45,13 +46,11 @@
 import yuccaflow.entry.routing.RetryBudgetSettings
 import yuccaflow.entry.routing.RoutingDependencies
 import yuccaflow.entry.routing.TargetClient
-import yuccaflow.entry.store.FollowerSettings
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.RouterGroup
 import yuccaflow.entry.store.StreamFollower
-import yuccaflow.entry.store.StreamListener
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.EventLoopMonitor
 import yuccaflow.entry.telemetry.Events
@@ -123,17 +122,20 @@
     private val relayClient = RelayClient(platform.relayClient)
     private val storeAccess = FailoverStoreAccess(directStoreAccess, relayClient, ::relayAddresses, timer, events)
     private val operators = OperatorState(platform.decoder, timer, events)
-    private val directory = TargetDirectory(platform.decoder, operators, timer, events) { targetsFollower.failedAtMs }
+    private val directory: TargetDirectory =
+        TargetDirectory(platform.decoder, operators, timer, events) { targetsFollower.failedAtMs }
     private val clusterState = ClusterState(timer, events)
+    private val waits = FollowerWaits(timer, directStoreAccess, keyOwnershipSettings) { authority.isRecordedPlanner }
     private val operatorsFollower =
-        follower(KeyedStream.OPERATORS, operators) { shortenWaitsIfSlow(FollowerSettings.prompt(OPERATORS_BATCH_DELAY_MS)) }
+        StreamFollower(storeAccess, KeyedStream.OPERATORS, timer, events, operators) { waits.ofPromptStream(OPERATORS_BATCH_DELAY_MS) }
     private val targetsFollower: StreamFollower =
-        follower(KeyedStream.TARGETS, directory) { shortenWaitsIfSlow(FollowerSettings.prompt(TARGETS_BATCH_DELAY_MS)) }
+        StreamFollower(storeAccess, KeyedStream.TARGETS, timer, events, directory) { waits.ofPromptStream(TARGETS_BATCH_DELAY_MS) }
+    private val positions = StreamPositions(listOf(operatorsFollower, targetsFollower), timer)
     private val clusterStateStore =
         PlannerBackedStore(storeAccess, { clusterState.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
     private val clusterStateFollower: StreamFollower =
-        StreamFollower(clusterStateStore, KeyedStream.ROUTERS, timer, events, clusterState, ::clusterStateFollowerSettings)
-    private val authority =
+        StreamFollower(clusterStateStore, KeyedStream.ROUTERS, timer, events, clusterState, waits::ofClusterState)
+    private val authority: PlannerAuthority =
         PlannerAuthority(settings.node, incarnationId, clusterState, timer, System::currentTimeMillis, keyOwnershipSettings, events) {
             clusterStateFollower.confirmedAtMs
         }
@@ -147,7 +149,6 @@
     private val eventLoopMonitor = EventLoopMonitor(timer, events)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private val planner = keyPlanner()
-    private val startedAtMs = timer.nowMs()
     private var isStopping = false
     private var wasReady = false
 
@@ -171,6 +172,7 @@
                 directStoreAccess,
                 keyLoadTracker,
                 directory,
+                positions,
                 platform.keyGrantClient,
                 PlannerEndpoint(authority, clusterState, timer),
             )
@@ -202,7 +204,7 @@
                 awaitCancellation()
             },
             SupervisedTask("planner") { planner.run() },
-            SupervisedTask("samples") { sampleReporter().run() },
+            SupervisedTask("reports") { routerReporter().run() },
         )
         val supervision = scope.launch {
             val failed = Supervisor(timer).run(tasks)
@@ -212,26 +214,6 @@
         supervision.invokeOnCompletion { stop.complete() }
     }
 
-    private fun follower(stream: KeyedStream, listener: StreamListener, followerSettings: () -> FollowerSettings) =
-        StreamFollower(storeAccess, stream, timer, events, listener, followerSettings)
-
-    /** Shortens the waits of reads while the store is slow, because a record that a read has missed is seen only when its wait ends. */
-    private fun shortenWaitsIfSlow(settings: FollowerSettings): FollowerSettings =
-        if (directStoreAccess.isSlow) settings.copy(waitMs = SLOW_STORE_WAIT_MS) else settings
-
-    /** Returns the settings for the routers' stream. The planner uses short waits, because each completed read confirms its authority. */
-    private fun clusterStateFollowerSettings(): FollowerSettings {
-        if (authority.isRecordedPlanner) {
-            return FollowerSettings(
-                waitMs = keyOwnershipSettings.authorityReadWaitMs,
-                batchDelayMs = PLANNER_BATCH_DELAY_MS,
-            )
-        }
-        // A missed record is noticed when a target refuses a key, which ends the wait early.
-        val settings = shortenWaitsIfSlow(FollowerSettings(batchDelayMs = CLUSTER_STATE_BATCH_DELAY_MS))
-        return if (timer.nowMs() - startedAtMs < STARTUP_MS) settings else settings.copy(catchUpWaitMs = settings.waitMs)
-    }
-
     /** Adds this router to the members. Limits that all routers share are divided by the number of members. */
     private suspend fun announceMember() {
         while (clusterState.endOffset == null) timer.sleep(ANNOUNCE_RETRY_MS)
@@ -268,12 +250,14 @@
         return KeyPlanner(dependencies, timer, keyOwnershipSettings, events)
     }
 
-    private fun sampleReporter() =
-        KeySampleReporter(
+    private fun routerReporter() =
+        RouterReporter(
             settings.node,
             keyLoadTracker,
             directory,
+            positions,
             { clusterState.plannerRelay(exceptNode = settings.node) },
+            ::relayAddresses,
             relayClient,
             timer,
         )
@@ -327,7 +311,7 @@
     }
 
     /** Returns for how many seconds [follower] has not known whether its stream has new records. */
-    private fun ageOf(follower: StreamFollower): Double = follower.confirmedAtMs?.let { (timer.nowMs() - it) / MS_PER_S } ?: Double.NaN
+    private fun ageOf(follower: StreamFollower): Double = follower.freshAtMs?.let { (timer.nowMs() - it) / MS_PER_S } ?: Double.NaN
 
     private fun metricsResponse(path: String): HttpResponse {
         if (path != METRICS_PATH) return HttpResponse(NOT_FOUND)
@@ -371,17 +355,9 @@
         const val METRICS_PATH = "/metrics"
         const val PIPELINE_DEPTH = 16
 
-        /** Time after the start in which many routers may be starting, and thus appending records, at the same time. */
-        const val STARTUP_MS = 5_000L
-
-        /** Longest wait of a read while the store is slow. */
-        const val SLOW_STORE_WAIT_MS = 800L
-
         // Delays after records have arrived, so that one read returns several.
         const val OPERATORS_BATCH_DELAY_MS = 50L
         const val TARGETS_BATCH_DELAY_MS = 200L
-        const val CLUSTER_STATE_BATCH_DELAY_MS = 40L
-        const val PLANNER_BATCH_DELAY_MS = 1L
 
         const val ANNOUNCE_RETRY_MS = 500L
         const val RELAY_BODY_LIMIT_BYTES = 2_097_152
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadTracker.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadTracker.kt
@@ -32,6 +32,7 @@
 
     /** Adds the keys, by service, that router [node] has sampled. */
     fun addReport(node: String, samples: Map<String, List<Int>>) {
+        if (samples.isEmpty()) return
         reportedAtMs[node] = timer.nowMs()
         samples.forEach { (service, keys) -> keys.forEach { windowOf(service).recordRequest(it) } }
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -57,14 +57,15 @@
 
 /**
  * Returns the handler of other routers' [RelayCall]s: makes their store calls through [storeAccess] while the store is available to this
- * router, adds their key samples to [keyLoadTracker] and the targets that leave to [directory], releases keys at targets through
- * [keyGrantClient], and answers as [planner].
+ * router, adds what they report to [keyLoadTracker], [directory] and [positions], releases keys at targets through [keyGrantClient], and
+ * answers as [planner].
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun relayHandler(
     storeAccess: DirectStoreAccess,
     keyLoadTracker: KeyLoadTracker,
     directory: TargetDirectory,
+    positions: StreamPositions,
     keyGrantClient: KeyGrantClient,
     planner: PlannerEndpoint,
 ): HttpHandler = HttpHandler { request ->
@@ -74,9 +75,11 @@
         return@HttpHandler HttpResponse(BAD_REQUEST, body = invalid.message.orEmpty().toByteArray())
     }
     val answer = when {
-        call is RelayCall.KeySamples -> RelayAnswer.Done.also {
+        call is RelayCall.KeySamples -> {
             keyLoadTracker.addReport(call.node, call.keys)
             call.leaving.forEach { holder -> directory.find(holder)?.let { directory.recordLeaving(it, saidAfterMs = null) } }
+            positions.learn(call.positions)
+            RelayAnswer.Positions(positions.current())
         }
         call is RelayCall.Release -> release(keyGrantClient, call)
         call is RelayCall.PlannerState -> RelayAnswer.PlannerState(planner.isActing(call.life))
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -76,14 +76,15 @@
     ) : RelayCall
 
     /**
-     * Reports the keys for which router [node] has received requests, by service, and the targets that have told it in an answer that they
-     * leave. The receiver processes it itself.
+     * Reports the keys for which router [node] has received requests, by service, the targets that have told it in an answer that they
+     * leave, and how far it has read the streams. The receiver processes it itself and answers with its own positions.
      */
     @Serializable
     class KeySamples(
         val node: String,
         val keys: Map<String, List<Int>>,
         val leaving: List<TargetIncarnation> = emptyList(),
+        val positions: List<RelayedPosition> = emptyList(),
     ) : RelayCall
 }
 
@@ -123,6 +124,12 @@
     @Serializable
     data object Done : RelayAnswer
 
+    /** How far the receiver has read the streams. */
+    @Serializable
+    class Positions(
+        val positions: List<RelayedPosition>,
+    ) : RelayAnswer
+
     @Serializable
     class PlannerState(
         val isActing: Boolean,
@@ -151,6 +158,19 @@
     ) : RelayAnswer
 }
 
+/**
+ * How far a router has read a stream.
+ *
+ * @property endOffset the offset of the next record.
+ * @property ageMs how long ago the records before [endOffset] were last known to be all, or null if that is not known.
+ */
+@Serializable
+internal class RelayedPosition(
+    val stream: KeyedStream,
+    val endOffset: Long,
+    val ageMs: Long? = null,
+)
+
 @Serializable
 internal class RelayedRecord(
     val key: String,
--- /dev/null
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
@@ -0,0 +1,64 @@
+package yuccaflow.entry.peer
+
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import yuccaflow.base.TimerService
+import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.keys.KeyLoadTracker
+import yuccaflow.entry.keys.incarnationOf
+import yuccaflow.http.SocketAddress
+
+/**
+ * Reports to the planner: the keys of this router's requests, by which the planner balances the key ranges, the targets that have told this
+ * router that they leave, whose keys the planner moves, and how far this router has read the streams. The answer says how far the
+ * planner has read them. While no planner answers, this router exchanges its positions with other routers instead.
+ *
+ * @property planner returns the relay address of the planner, or null if this router is the planner or none is known.
+ * @property otherRouters returns the relay addresses of the other routers.
+ */
+internal class RouterReporter(
+    private val node: String,
+    private val keyLoadTracker: KeyLoadTracker,
+    private val directory: TargetDirectory,
+    private val positions: StreamPositions,
+    private val planner: () -> SocketAddress?,
+    private val otherRouters: () -> List<SocketAddress>,
+    private val client: RelayClient,
+    private val timer: TimerService,
+) {
+    private var hasPlannerAnswered = false
+
+    /** Reports until cancelled. A lost report is not repeated, because the next one is more recent. */
+    suspend fun run() {
+        while (true) {
+            timer.sleep(REPORT_PERIOD_MS)
+            report()
+        }
+    }
+
+    private suspend fun report() = coroutineScope {
+        val address = planner()
+        if (address == null || !hasPlannerAnswered) launch { exchangePositions() }
+        val samples = keyLoadTracker.drainUnreported()
+        val leaving = directory.saidToLeave().map(::incarnationOf)
+        hasPlannerAnswered = address != null && send(address, RelayCall.KeySamples(node, samples, leaving, positions.current()))
+    }
+
+    private suspend fun exchangePositions() {
+        val router = otherRouters().randomOrNull() ?: return
+        send(router, RelayCall.KeySamples(node, emptyMap(), positions = positions.current()))
+    }
+
+    /** Returns whether the router at [address] has answered. */
+    private suspend fun send(address: SocketAddress, call: RelayCall.KeySamples): Boolean {
+        val sentAtMs = timer.nowMs()
+        val answer = client.send(address, call, CALL_TIMEOUT_MS)
+        if (answer is RelayAnswer.Positions) positions.learn(answer.positions, determinedAfterMs = sentAtMs)
+        return answer is RelayAnswer.Positions || answer == RelayAnswer.Done
+    }
+
+    private companion object {
+        const val REPORT_PERIOD_MS = 400L
+        const val CALL_TIMEOUT_MS = 500L
+    }
+}
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -1,10 +1,12 @@
 package yuccaflow.entry.store
 
 import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaflow.base.TimerService
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
@@ -34,12 +36,15 @@
  * an append that was being executed when it began; null if a missed record may be read late.
  * @property batchDelayMs delay after records have arrived, so that one call can return several that follow.
  * @property initialBackoffMs delay after the first failed call. It doubles with each further failure up to [maxBackoffMs], plus jitter.
- * @property minRefreshIntervalMs the shortest time between two waits that are ended by [StreamFollower.refresh].
+ * @property maxAgeMs the longest time for which neither a read nor another router may have confirmed that no records are missing, before
+ * the stream is read without a wait; null if that does not matter.
+ * @property minRefreshIntervalMs the shortest time between two reads that are caused from outside of the follower.
  */
 internal data class FollowerSettings(
     val waitMs: Long = 25_000,
     val catchUpWaitMs: Long = 700,
     val recheckAfterMs: Long? = null,
+    val maxAgeMs: Long? = null,
     val batchDelayMs: Long = 50,
     val initialBackoffMs: Long = 150,
     val maxBackoffMs: Long = 1_000,
@@ -49,15 +54,26 @@
         /** Longer than an append takes, also while the store is slow. */
         private const val RECHECK_AFTER_MS = 400L
 
+        /** Leaves half a second of the two in which records take effect for the read, directly or through another router. */
+        private const val MAX_AGE_MS = 1_500L
+
         /**
          * Settings for a stream whose records take effect within two seconds. The first wait after records is short also where waits are
          * rechecked, because a wait may miss an append that comes after its recheck.
          */
-        fun prompt(batchDelayMs: Long) = FollowerSettings(batchDelayMs = batchDelayMs, recheckAfterMs = RECHECK_AFTER_MS)
+        fun prompt(
+            batchDelayMs: Long,
+        ) = FollowerSettings(batchDelayMs = batchDelayMs, recheckAfterMs = RECHECK_AFTER_MS, maxAgeMs = MAX_AGE_MS)
     }
 }
 
-/** Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them. */
+/**
+ * Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them.
+ *
+ * A long-polling read is only a hint that there are no news: the store may leave it waiting although a record was appended, and a silent
+ * connection looks the same. So what this follower knows has an age, the time since all records were last known to be passed on. Own reads
+ * and the confirmations of other routers ([learnPosition]) renew it, and a follower whose knowledge is too old reads without a wait.
+ */
 internal class StreamFollower(
     private val store: KeyedStore,
     val stream: KeyedStream,
@@ -65,7 +81,7 @@
     private val events: EventLog,
     private val listener: StreamListener,
     private val settings: () -> FollowerSettings,
-) {
+) : StreamFreshness {
     /** When the last read that reached the end of the stream was started, or null if there was none. */
     var confirmedAtMs: Long? = null
         private set
@@ -74,57 +90,81 @@
     var failedAtMs: Long? = null
         private set
 
+    /** The offset of the next record, or null before the first snapshot. */
+    var nextOffset: Long? = null
+        private set
+
+    private val latestFreshAtMs = MutableStateFlow<Long?>(null)
+
+    override val freshAtMs: Long? get() = latestFreshAtMs.value
+
     private var consecutiveFailures = 0
-    private val refreshRequests = Channel<Unit>(Channel.CONFLATED)
+    private val refreshRequests = Channel<LookReason>(Channel.CONFLATED)
     private var refreshedAtMs = Long.MIN_VALUE / 2
 
-    /** Ends the current wait and reads at once. To be called if there is evidence that a record was missed. */
-    fun refresh() {
-        if (timer.nowMs() - refreshedAtMs < settings().minRefreshIntervalMs) return
-        refreshedAtMs = timer.nowMs()
-        refreshRequests.trySend(Unit)
+    /** Why a follower reads without a wait while a long-polling read is under way. */
+    private enum class LookReason { RECHECK, AGE, OTHER_ROUTER, EVIDENCE }
+
+    /** Reads at once. To be called if there is evidence that a record was missed. */
+    fun refresh() = requestLook(LookReason.EVIDENCE)
+
+    /**
+     * Takes note that another router has passed on the records before [endOffset], and that these were all records at [confirmedAtMs], or
+     * at an unknown time if that is null. Reads at once if this follower has fewer records.
+     */
+    fun learnPosition(endOffset: Long, confirmedAtMs: Long?) {
+        val next = nextOffset ?: return
+        if (endOffset > next) return requestLook(LookReason.OTHER_ROUTER)
+        if (confirmedAtMs != null) recordFresh(confirmedAtMs)
+    }
+
+    override fun isFresh(maxAgeMs: Long): Boolean = isRecent(freshAtMs, maxAgeMs)
+
+    override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
+        if (isFresh(maxAgeMs) || consecutiveFailures > 0) return
+        refresh()
+        withTimeoutOrNull(timeoutMs) { latestFreshAtMs.first { isRecent(it, maxAgeMs) } }
     }
 
     /** Follows the stream until cancelled. */
     suspend fun run() {
         while (true) {
-            val end = takeSnapshot()
-            follow(end)
+            takeSnapshot()
+            follow()
         }
     }
 
-    private suspend fun takeSnapshot(): Long {
+    private suspend fun takeSnapshot() {
         while (true) {
             val startedAtMs = timer.nowMs()
             when (val result = store.snapshot(stream)) {
                 is SnapshotResult.Snapshot -> {
-                    onAnswered(startedAtMs, isAtEnd = false)
+                    onAnswered()
                     events.log(Events.STREAM_SNAPSHOT) {
                         put("stream", stream.name)
                         put("records", result.records.size)
                         put("end_offset", result.endOffset)
                     }
-                    listener.onSnapshot(result.records, result.endOffset, confirmedAtMs)
-                    return result.endOffset
+                    listener.onSnapshot(result.records, result.endOffset, freshAtMs)
+                    nextOffset = result.endOffset
+                    recordFresh(startedAtMs)
+                    return
                 }
                 is SnapshotResult.Failed -> onFailed(result.reason)
             }
         }
     }
 
-    /** Reads the records from [from] on. Returns when the store no longer has the next ones, so that a new snapshot is needed. */
-    private suspend fun follow(from: Long) {
-        var next = from
+    /** Reads the following records. Returns when the store no longer has the next ones, so that a new snapshot is needed. */
+    private suspend fun follow() {
         var isCaughtUp = false
         while (true) {
-            val startedAtMs = timer.nowMs()
+            val next = checkNotNull(nextOffset) { "expected a snapshot before the records that follow it" }
             val waitMs = if (isCaughtUp) settings().waitMs else minOf(settings().waitMs, settings().catchUpWaitMs)
-            when (val result = readOrRefresh(next, waitMs)) {
+            val (result, startedAtMs) = readNext(next, waitMs)
+            when (result) {
                 is StreamReadResult.Read -> {
-                    // An answer without records may report a later end of the stream. The records before that end are yet to be read.
-                    next = result.records.lastOrNull()?.let { it.offset + 1 } ?: next
-                    listener.onRecords(result.records, next, confirmedAtMs)
-                    onAnswered(startedAtMs, isAtEnd = next >= result.endOffset)
+                    onRead(result, next, startedAtMs)
                     isCaughtUp = result.records.isEmpty()
                     if (!isCaughtUp) timer.sleep(settings().batchDelayMs)
                 }
@@ -140,37 +180,96 @@
         }
     }
 
-    private suspend fun readOrRefresh(from: Long, waitMs: Long): StreamReadResult = coroutineScope {
-        val call = async { store.read(stream, from, waitMs) }
-        val recheck = async { readMissed(from, waitMs) }
+    private fun onRead(result: StreamReadResult.Read, from: Long, startedAtMs: Long) {
+        // An answer without records may report a later end of the stream. The records before that end are yet to be read.
+        val next = result.records.lastOrNull()?.let { it.offset + 1 } ?: from
+        listener.onRecords(result.records, next, freshAtMs)
+        nextOffset = next
+        onAnswered()
+        if (next >= result.endOffset) recordConfirmed(startedAtMs)
+    }
+
+    private class TimedRead(
+        val result: StreamReadResult,
+        val startedAtMs: Long,
+    ) {
+        operator fun component1() = result
+
+        operator fun component2() = startedAtMs
+    }
+
+    /** Waits up to [waitMs] for the records from [from] on, and looks for them without a wait where there is a reason to. */
+    private suspend fun readNext(from: Long, waitMs: Long): TimedRead = coroutineScope {
+        val wait = async { read(from, waitMs) }
+        val look = async { lookForMissed(from, waitMs) }
         select {
-            call.onAwait { it }
-            recheck.onAwait { it }
-            refreshRequests.onReceive {
-                call.cancel()
-                store.read(stream, from, 0)
-            }
+            wait.onAwait { it }
+            look.onAwait { it }
         }.also {
-            call.cancel()
-            recheck.cancel()
+            wait.cancel()
+            look.cancel()
         }
     }
 
-    /** Returns what a wait from [from] on that has just begun has missed. Suspends until cancelled if it has missed nothing. */
-    private suspend fun readMissed(from: Long, waitMs: Long): StreamReadResult {
-        val recheckAfterMs = settings().recheckAfterMs
-        if (recheckAfterMs == null || waitMs <= recheckAfterMs) awaitCancellation()
-        timer.sleep(recheckAfterMs)
+    private suspend fun read(from: Long, waitMs: Long): TimedRead {
         val startedAtMs = timer.nowMs()
-        val result = store.read(stream, from, 0)
-        if (result !is StreamReadResult.Read) awaitCancellation()
-        if (result.records.isNotEmpty()) return result
-        if (result.endOffset <= from) confirmedAtMs = startedAtMs
-        awaitCancellation()
+        return TimedRead(store.read(stream, from, waitMs), startedAtMs)
+    }
+
+    /** Returns what the wait of [waitMs] from [from] on that has just begun has missed. Does not return while it has missed nothing. */
+    private suspend fun lookForMissed(from: Long, waitMs: Long): TimedRead {
+        val waitStartedAtMs = timer.nowMs()
+        var recheckAtMs = settings().recheckAfterMs?.takeIf { it < waitMs }?.let { waitStartedAtMs + it }
+        while (true) {
+            val reason = awaitReasonToLook(waitStartedAtMs, recheckAtMs)
+            if (reason == LookReason.RECHECK) recheckAtMs = null
+            val read = read(from, waitMs = 0)
+            val result = read.result
+            if (result !is StreamReadResult.Read) return read
+            if (result.records.isNotEmpty()) {
+                logMissed(reason, waitStartedAtMs)
+                return read
+            }
+            if (result.endOffset > from) return read
+            recordConfirmed(read.startedAtMs)
+        }
+    }
+
+    private suspend fun awaitReasonToLook(waitStartedAtMs: Long, recheckAtMs: Long?): LookReason {
+        while (true) {
+            val nowMs = timer.nowMs()
+            val tooOldAtMs = settings().maxAgeMs?.let { (freshAtMs ?: waitStartedAtMs) + it }
+            if (recheckAtMs != null && recheckAtMs <= nowMs) return LookReason.RECHECK
+            if (tooOldAtMs != null && tooOldAtMs <= nowMs) return LookReason.AGE
+            val dueAtMs = listOfNotNull(recheckAtMs, tooOldAtMs).minOrNull() ?: return refreshRequests.receive()
+            withTimeoutOrNull(dueAtMs - nowMs) { refreshRequests.receive() }?.let { return it }
+        }
+    }
+
+    private fun requestLook(reason: LookReason) {
+        if (timer.nowMs() - refreshedAtMs < settings().minRefreshIntervalMs) return
+        refreshedAtMs = timer.nowMs()
+        refreshRequests.trySend(reason)
+    }
+
+    private fun isRecent(atMs: Long?, maxAgeMs: Long): Boolean = atMs != null && timer.nowMs() - atMs <= maxAgeMs
+
+    private fun recordConfirmed(startedAtMs: Long) {
+        confirmedAtMs = maxOf(confirmedAtMs ?: startedAtMs, startedAtMs)
+        recordFresh(startedAtMs)
+    }
+
+    private fun recordFresh(atMs: Long) {
+        latestFreshAtMs.value = maxOf(freshAtMs ?: atMs, atMs)
+    }
+
+    private fun logMissed(reason: LookReason, waitStartedAtMs: Long) = events.log(Events.STREAM_WAIT_MISSED) {
+        put("stream", stream.name)
+        put("found_by", reason.name.lowercase())
+        put("waited_ms", timer.nowMs() - waitStartedAtMs)
     }
 
-    private fun onAnswered(startedAtMs: Long, isAtEnd: Boolean) {
-        if (isAtEnd) confirmedAtMs = startedAtMs
+    private fun onAnswered() {
         if (consecutiveFailures == 0) return
         events.log(Events.STORE_REGAINED) {
             put("stream", stream.name)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
@@ -60,6 +60,7 @@
                         DirectStoreAccess(peerStore, peerStore, timer, RecordingEventLog()),
                         KeyLoadTracker(timer),
                         TargetDirectory(FakeRecords, OperatorState(FakeRecords, timer, log), timer, log) { null },
+                        StreamPositions(emptyList(), timer),
                         StubKeyGrantClient(releaseResult),
                         plannerEndpoint,
                     ),
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
@@ -65,6 +65,7 @@
                 DirectStoreAccess(plannerStore, plannerStore, timer, RecordingEventLog()),
                 KeyLoadTracker(timer),
                 TargetDirectory(FakeRecords, OperatorState(FakeRecords, timer, log), timer, log) { null },
+                StreamPositions(emptyList(), timer),
                 StubKeyGrantClient(),
                 PlannerEndpoint(authority, clusterState, timer),
             )
