Do not claim that a route does not exist by a routing table that may be out of date

Cause: the router matched the path against its table and answered 404 whatever the age of the table. Whichever way the news were late, on a late event loop or in a wait, the old table was acted on as if it were known to be in force.

Routes that are known are used.

Evidence: RouteFinderTest; without the check of the age 'refuses the request as not run' gets 404.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -44,6 +44,7 @@
 import yuccaflow.entry.routing.RequestRouter
 import yuccaflow.entry.routing.RetryBudget
 import yuccaflow.entry.routing.RetryBudgetSettings
+import yuccaflow.entry.routing.RouteFinder
 import yuccaflow.entry.routing.RoutingDependencies
 import yuccaflow.entry.routing.TargetClient
 import yuccaflow.entry.store.KeyedAppendResult
@@ -266,7 +267,7 @@
         val coldStartLimiter = ColdStartLimiter(settings.node, settings.coldStartLimits, operators) { clusterState.nodes }
         val chooser = TargetChooser(directory, settings.zone, timer, coldStartLimiter)
         val dependencies = RoutingDependencies(
-            operators = operators,
+            routeFinder = RouteFinder(operators, operatorsFollower, timer, events),
             directory = directory,
             targetChooser = chooser,
             keyOwnerChooser = KeyOwnerChooser(clusterState, directory, operators, chooser, timer, clusterStateFollower::refresh),
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -6,9 +6,9 @@
 import yuccaflow.entry.balance.TargetChoice
 import yuccaflow.entry.balance.TargetChooser
 import yuccaflow.entry.balance.TargetState
-import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.config.RequestKind
 import yuccaflow.entry.config.Route
+import yuccaflow.entry.config.RoutingTable
 import yuccaflow.entry.config.ServiceConfig
 import yuccaflow.entry.config.ServiceShare
 import yuccaflow.entry.directory.TargetDirectory
@@ -29,7 +29,7 @@
  * @property drainEndsAtMs returns when this router cuts off the requests in progress, or null while it is not draining.
  */
 internal class RoutingDependencies(
-    val operators: OperatorState,
+    val routeFinder: RouteFinder,
     val directory: TargetDirectory,
     val targetChooser: TargetChooser,
     val keyOwnerChooser: KeyOwnerChooser,
@@ -77,9 +77,14 @@
 
     override suspend fun handle(request: HttpRequest): HttpResponse {
         val id = request.headers[names.requestId] ?: return errorResponses.invalid(null, "expected a header ${names.requestId}, found none")
-        val table =
-            dependencies.operators.table ?: return errorResponses.refused(id, "no routing table is known yet", NOT_READY_RETRY_AFTER_MS)
-        val route = table.match(request.headers["Host"].orEmpty(), request.path) ?: return errorResponses.noRoute(id)
+        return when (val lookup = dependencies.routeFinder.find(id, request.headers["Host"].orEmpty(), request.path)) {
+            is RouteLookup.Found -> handle(request, id, lookup.table, lookup.route)
+            RouteLookup.NoRoute -> errorResponses.noRoute(id)
+            is RouteLookup.Unknown -> errorResponses.refused(id, lookup.reason, NOT_READY_RETRY_AFTER_MS)
+        }
+    }
+
+    private suspend fun handle(request: HttpRequest, id: String, table: RoutingTable, route: Route): HttpResponse {
         val service = pickService(route.shares)
         val serviceConfig =
             table.services[service] ?: return errorResponses.refused(id, "service $service is not known", NOT_READY_RETRY_AFTER_MS)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -44,6 +44,7 @@
     const val RECORD_REJECTED = "record_rejected"
 
     const val REQUEST_SAMPLED = "request_sampled"
+    const val REQUEST_UNROUTED = "request_unrouted"
     const val REQUEST_DELAYED = "request_delayed"
     const val REQUEST_WITHDRAWN = "request_withdrawn"
     const val REQUEST_REPEATED = "request_repeated"
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
@@ -14,6 +14,7 @@
 import yuccaflow.entry.directory.OperatorRecord
 import yuccaflow.entry.directory.RecordDecoder
 import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.fake.FakeFreshness
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.ManualTimer
 import yuccaflow.entry.fake.RecordingEventLog
@@ -67,12 +68,13 @@
         override suspend fun close() = Unit
     }
 
+    protected val freshness = FakeFreshness(timer)
     protected val operators = OperatorState(FixedTableDecoder, timer, log)
     protected val directory = TargetDirectory(FixedTableDecoder, operators, timer, log) { null }
     private val chooser = TargetChooser(directory, "a", timer, ColdStartLimiter("n", ColdStartLimits(1.5, 5.0), operators) { setOf("n") })
     protected val router = RequestRouter(
         RoutingDependencies(
-            operators,
+            RouteFinder(operators, freshness, timer, log),
             directory,
             chooser,
             KeyOwnerChooser(ClusterState(timer, log), directory, operators, chooser, timer) { },
--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
@@ -0,0 +1,61 @@
+package yuccaflow.entry.routing
+
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+
+@DisplayName("A request router whose routing table may be out of date")
+internal class RouteFinderTest {
+    @Nested
+    @DisplayName("for a path without a route")
+    inner class PathWithoutRoute : RequestRouterFixture() {
+        /** Guards against a 404 for a route that operators added seconds ago, whatever has kept the news from this router. */
+        @Test
+        fun `refuses the request as not run`() = runTest {
+            freshness.freshAtMs = timer.now - TABLE_AGE_MS
+            val response = handleRequest("/added/x")
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers["Retry-After"]).isNotNull()
+            expectThat(sent).isEmpty()
+            expectThat(log.count("request_unrouted")).isEqualTo(1)
+        }
+
+        /** Guards against a refusal although the news only waited behind the request on a late event loop. */
+        @Test
+        fun `answers by the news that arrive while the request waits`() = runTest {
+            freshness.freshAtMs = timer.now - TABLE_AGE_MS
+            freshness.onWait = { freshness.freshAtMs = timer.now }
+            expectThat(handleRequest("/unknown/x").status).isEqualTo(404)
+        }
+
+        /** Guards against callers of paths that never existed that come back again and again. */
+        @Test
+        fun `says that there is no route once the table is recent`() = runTest {
+            freshness.freshAtMs = timer.now
+            expectThat(handleRequest("/unknown/x").status).isEqualTo(404)
+        }
+    }
+
+    @Nested
+    @DisplayName("for a path with a route")
+    inner class PathWithRoute : RequestRouterFixture() {
+        /** Guards against a router that serves nobody while the store cannot be reached. */
+        @Test
+        fun `serves the request`() = runTest {
+            freshness.freshAtMs = timer.now - 60_000
+            expectThat(handleRequest("/read/x").status).isEqualTo(200)
+            expectThat(sent).hasSize(1)
+        }
+    }
+
+    private companion object {
+        /** More than the two seconds in which changes must be in force. */
+        const val TABLE_AGE_MS = 2_100L
+    }
+}
