--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/FollowerWaits.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/FollowerWaits.kt
@@ -20,13 +20,12 @@
     private val startedAtMs = timer.nowMs()
 
     /**
-     * Returns the settings for a stream whose records take effect within seconds. The planner uses short waits and tells the others how far
-     * it has read, so that the calls to the store do not grow with the routers.
+     * Returns the settings for a stream whose records take effect within seconds. The planner reads often and tells the others how far it
+     * has read, so that they need not.
      */
     fun ofPromptStream(batchDelayMs: Long): FollowerSettings {
-        val settings = FollowerSettings.prompt(batchDelayMs)
-        if (isPlanner()) return settings.copy(waitMs = settings.catchUpWaitMs, recheckAfterMs = null)
-        return shortenIfSlow(settings)
+        val settings = shortenIfSlow(FollowerSettings.prompt(batchDelayMs))
+        return if (isPlanner()) settings.copy(maxAgeMs = PLANNER_MAX_AGE_MS) else settings
     }
 
     /** Returns the settings for the routers' stream. The planner uses short waits, because each completed read confirms its authority. */
@@ -42,6 +41,9 @@
         if (storeAccess.isSlow) settings.copy(waitMs = SLOW_STORE_WAIT_MS) else settings
 
     private companion object {
+        /** Leaves time for a report and its answer until the age at which the other routers read the store themselves. */
+        const val PLANNER_MAX_AGE_MS = 700L
+
         /** Longest wait of a read while the store is slow. */
         const val SLOW_STORE_WAIT_MS = 800L
 
