Count the time of a request from when its caller may have sent it, and wait for recent entries of targets before choosing one

The choice of a target relied on entries of any age, while the news of a leaving waited behind the request.

Change: the time for which a request may have waited to be read (the delay of the event loop, also while its measurement is overdue) counts as time of the request, and so does the wait for news. That wait covers the targets' entries too.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -267,7 +267,7 @@
         val coldStartLimiter = ColdStartLimiter(settings.node, settings.coldStartLimits, operators) { clusterState.nodes }
         val chooser = TargetChooser(directory, settings.zone, timer, coldStartLimiter)
         val dependencies = RoutingDependencies(
-            routeFinder = RouteFinder(operators, operatorsFollower, timer, events),
+            routeFinder = RouteFinder(operators, operatorsFollower, targetsFollower, timer, events),
             directory = directory,
             targetChooser = chooser,
             keyOwnerChooser = KeyOwnerChooser(clusterState, directory, operators, chooser, timer, clusterStateFollower::refresh),
@@ -277,6 +277,7 @@
             },
             recordKey = keyLoadTracker::recordRequest,
             meters = meters,
+            readDelayMs = eventLoopMonitor::possibleWaitMs,
             drainEndsAtMs = { drainEndsAtMs },
         )
         return RequestRouter(dependencies, settings.headers, timer, events)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -8,7 +8,6 @@
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.RequestKind
 import yuccaflow.entry.config.Route
-import yuccaflow.entry.config.RoutingTable
 import yuccaflow.entry.config.ServiceConfig
 import yuccaflow.entry.config.ServiceShare
 import yuccaflow.entry.directory.TargetDirectory
@@ -26,6 +25,7 @@
  *
  * @property retryBudgetOf returns the retry budget of a service.
  * @property recordKey records that a request for a key of a service has arrived.
+ * @property readDelayMs returns for how long a request that is read now may have waited on this host.
  * @property drainEndsAtMs returns when this router cuts off the requests in progress, or null while it is not draining.
  */
 internal class RoutingDependencies(
@@ -37,6 +37,7 @@
     val retryBudgetOf: (String) -> RetryBudget,
     val recordKey: (String, Int) -> Unit,
     val meters: RouterMeters,
+    val readDelayMs: () -> Long,
     val drainEndsAtMs: () -> Long?,
 )
 
@@ -53,7 +54,11 @@
 ) : HttpHandler {
     private val errorResponses = ErrorResponses(names)
 
-    /** One request of a caller with its routing decision and its attempts. */
+    /**
+     * One request of a caller with its routing decision and its attempts.
+     *
+     * @property startedAtMs the earliest time at which the caller may have sent it.
+     */
     private class Exchange(
         val id: String,
         val request: HttpRequest,
@@ -77,24 +82,28 @@
 
     override suspend fun handle(request: HttpRequest): HttpResponse {
         val id = request.headers[names.requestId] ?: return errorResponses.invalid(null, "expected a header ${names.requestId}, found none")
+        // The caller's time began when it sent the request, which a late event loop reads long after.
+        val startedAtMs = timer.nowMs() - dependencies.readDelayMs()
         return when (val lookup = dependencies.routeFinder.find(id, request.headers["Host"].orEmpty(), request.path)) {
-            is RouteLookup.Found -> handle(request, id, lookup.table, lookup.route)
+            is RouteLookup.Found -> handle(request, id, lookup, startedAtMs)
             RouteLookup.NoRoute -> errorResponses.noRoute(id)
             is RouteLookup.Unknown -> errorResponses.refused(id, lookup.reason, NOT_READY_RETRY_AFTER_MS)
         }
     }
 
-    private suspend fun handle(request: HttpRequest, id: String, table: RoutingTable, route: Route): HttpResponse {
+    private suspend fun handle(request: HttpRequest, id: String, found: RouteLookup.Found, startedAtMs: Long): HttpResponse {
+        val table = found.table
+        val route = found.route
         val service = pickService(route.shares)
         val serviceConfig =
             table.services[service] ?: return errorResponses.refused(id, "service $service is not known", NOT_READY_RETRY_AFTER_MS)
         val key = request.headers[names.key]?.toIntOrNull()
         if (serviceConfig.isKeyed && key == null) return errorResponses.invalid(id, "expected a number in ${names.key}")
-        val nowMs = timer.nowMs()
         val callerTimeoutMs = request.headers[names.deadlineMs]?.toLongOrNull() ?: route.timeoutMs
-        val deadlineAtMs = nowMs + minOf(callerTimeoutMs - RESPONSE_TRANSIT_MS, route.timeoutMs)
-        val exchange = Exchange(id, request, route, serviceConfig, key.takeIf { serviceConfig.isKeyed }, table.version, nowMs, deadlineAtMs)
-        dependencies.retryBudgetOf(service).deposit(nowMs)
+        val deadlineAtMs = startedAtMs + minOf(callerTimeoutMs - RESPONSE_TRANSIT_MS, route.timeoutMs)
+        val exchange =
+            Exchange(id, request, route, serviceConfig, key.takeIf { serviceConfig.isKeyed }, table.version, startedAtMs, deadlineAtMs)
+        dependencies.retryBudgetOf(service).deposit(timer.nowMs())
         if (exchange.key != null) dependencies.recordKey(service, exchange.key)
         return serve(exchange).also { recordMetrics(exchange, it) }
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
@@ -1,5 +1,6 @@
 package yuccaflow.entry.routing
 
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaflow.base.TimerService
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.config.Route
@@ -28,35 +29,45 @@
 /**
  * Finds the route of a request.
  *
- * If the routing table may be out of date, the request waits a moment for the news; on an event loop that is
- * late, news and requests would otherwise be handled in the order in which their turns come. Where the news do not arrive, a route that is
- * known is used, but that a route does not exist is not claimed.
+ * If the routing table or the targets' entries may be out of date, the request waits a moment for the news; on an event loop that is late,
+ * news and requests would otherwise be handled in the order in which their turns come. Where the news do not arrive, a route that is known
+ * is used, but that a route does not exist is not claimed.
  *
- * @property freshness tells how recent the routing table is.
+ * @property tableFreshness tells how recent the routing table is.
+ * @property targetsFreshness tells how recent the targets' entries are, on which the choice of a target for the request relies.
  */
 internal class RouteFinder(
     private val operators: OperatorState,
-    private val freshness: StreamFreshness,
+    private val tableFreshness: StreamFreshness,
+    private val targetsFreshness: StreamFreshness,
     private val timer: TimerService,
     private val events: EventLog,
 ) {
-    /** Returns the route for request [requestId]. Suspends up to [MAX_WAIT_MS] if the routing table may be out of date. */
+    /** Returns the route for request [requestId]. Suspends up to [MAX_WAIT_MS] if what the router has read may be out of date. */
     suspend fun find(requestId: String, host: String, path: String): RouteLookup {
-        freshness.awaitFresh(MAX_TABLE_AGE_MS, MAX_WAIT_MS)
+        awaitFresh()
         val table = operators.table ?: return RouteLookup.Unknown("no routing table is known yet")
         table.match(host, path)?.let { return RouteLookup.Found(table, it) }
-        if (freshness.isFresh(MAX_TABLE_AGE_MS)) return RouteLookup.NoRoute
+        if (tableFreshness.isFresh(MAX_AGE_MS)) return RouteLookup.NoRoute
         events.log(Events.REQUEST_UNROUTED) {
             put("request", requestId)
             put("config_version", table.version)
-            put("table_age_ms", freshness.freshAtMs?.let { timer.nowMs() - it })
+            put("table_age_ms", tableFreshness.freshAtMs?.let { timer.nowMs() - it })
         }
         return RouteLookup.Unknown("the routing table may be out of date")
     }
 
+    private suspend fun awaitFresh() {
+        if (tableFreshness.isFresh(MAX_AGE_MS) && targetsFreshness.isFresh(MAX_AGE_MS)) return
+        withTimeoutOrNull(MAX_WAIT_MS) {
+            tableFreshness.awaitFresh(MAX_AGE_MS, MAX_WAIT_MS)
+            targetsFreshness.awaitFresh(MAX_AGE_MS, MAX_WAIT_MS)
+        }
+    }
+
     private companion object {
-        /** A routing table must be in force two seconds after the operators have published it. */
-        const val MAX_TABLE_AGE_MS = 2_000L
+        /** A routing table, and the leaving of a target, must be in force two seconds after it was published. */
+        const val MAX_AGE_MS = 2_000L
 
         /** Longer than a read of the store takes, and short compared with callers' time limits. */
         const val MAX_WAIT_MS = 200L
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLoopMonitor.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLoopMonitor.kt
@@ -13,10 +13,15 @@
     var delayMs = 0L
         private set
 
+    private var dueAtMs = Long.MAX_VALUE
+
+    /** For how long something that is read now may have waited: the delay of the latest measurement, or of the one that is overdue. */
+    val possibleWaitMs: Long get() = maxOf(delayMs, timer.nowMs() - dueAtMs)
+
     /** Measures until cancelled, and logs long delays. */
     suspend fun run() {
         while (true) {
-            val dueAtMs = timer.nowMs() + INTERVAL_MS
+            dueAtMs = timer.nowMs() + INTERVAL_MS
             timer.sleep(INTERVAL_MS)
             delayMs = (timer.nowMs() - dueAtMs).coerceAtLeast(0)
             if (delayMs >= LOGGED_DELAY_MS) events.log(Events.EVENT_LOOP_DELAYED) { put("delay_ms", delayMs) }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
@@ -69,12 +69,13 @@
     }
 
     protected val freshness = FakeFreshness(timer)
+    protected val targetsFreshness = FakeFreshness(timer)
     protected val operators = OperatorState(FixedTableDecoder, timer, log)
     protected val directory = TargetDirectory(FixedTableDecoder, operators, timer, log) { null }
     private val chooser = TargetChooser(directory, "a", timer, ColdStartLimiter("n", ColdStartLimits(1.5, 5.0), operators) { setOf("n") })
     protected val router = RequestRouter(
         RoutingDependencies(
-            RouteFinder(operators, freshness, timer, log),
+            RouteFinder(operators, freshness, targetsFreshness, timer, log),
             directory,
             chooser,
             KeyOwnerChooser(ClusterState(timer, log), directory, operators, chooser, timer) { },
@@ -82,6 +83,7 @@
             { budget },
             { _, _ -> },
             RouterMeters("n", "a"),
+            { readDelayMs },
             { drainEndsAtMs },
         ),
         names,
@@ -89,6 +91,7 @@
         log,
     )
     protected var drainEndsAtMs: Long? = null
+    protected var readDelayMs = 0L
     protected var budget = RetryBudget(RetryBudgetSettings(share = 1.0, extraSends = 100.0, windowMs = 1_000)) { 1 }
 
     protected fun served(status: Int = 200) =
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -149,6 +149,22 @@
             expectThat(sent).hasSize(1)
         }
 
+        /** Guards against a request that is sent on after its caller has left, because a late event loop read it long after (GONE). */
+        @Test
+        fun `counts the time for which the request may have waited to be read`() = runTest {
+            readDelayMs = 850
+            expectThat(handleRequest("/read/1", deadlineMs = 800).status).isEqualTo(503)
+            expectThat(sent).hasSize(0)
+            readDelayMs = 300
+            handleRequest("/read/1", deadlineMs = 800)
+            expectThat(
+                sent
+                    .single()
+                    .second.headers[names.deadlineMs]!!
+                    .toLong(),
+            ).isLessThan(501)
+        }
+
         /** Guards against a retry that cannot be answered before the deadline and only adds load. */
         @Test
         fun `does not retry if a retry cannot be answered before the deadline`() = runTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
@@ -8,7 +8,9 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import yuccaflow.entry.store.KeyedRecord
 
 @DisplayName("A request router whose routing table may be out of date")
 internal class RouteFinderTest {
@@ -52,6 +54,29 @@
             expectThat(handleRequest("/read/x").status).isEqualTo(200)
             expectThat(sent).hasSize(1)
         }
+
+        /** Guards against a request that goes to a target which has left, while the news of that wait behind the request (DRAIN). */
+        @Test
+        fun `waits for recent entries of targets before it chooses one`() = runTest {
+            targetsFreshness.freshAtMs = timer.now - TABLE_AGE_MS
+            targetsFreshness.onWait = { directory.onRecords(listOf(KeyedRecord("t0", null, 9)), 10) }
+            expectThat(handleRequest("/read/x", targets = 1).status).isEqualTo(503)
+            expectThat(sent).isEmpty()
+        }
+
+        /** Guards against a request that is sent on after its caller has left, because its time runs only from the end of the wait (GONE). */
+        @Test
+        fun `counts the wait for the news as time of the request`() = runTest {
+            freshness.freshAtMs = timer.now - TABLE_AGE_MS
+            freshness.onWait = { timer.now += 200 }
+            handleRequest("/read/x", deadlineMs = 900)
+            expectThat(
+                sent
+                    .single()
+                    .second.headers[names.deadlineMs]!!
+                    .toLong(),
+            ).isLessThan(701)
+        }
     }
 
     private companion object {
--- /dev/null
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/telemetry/EventLoopMonitorTest.kt
@@ -0,0 +1,34 @@
+package yuccaflow.entry.telemetry
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import yuccaflow.entry.fake.RecordingEventLog
+import yuccaflow.entry.fake.SuspendableProcess
+
+@OptIn(ExperimentalCoroutinesApi::class)
+@DisplayName("An event loop monitor")
+class EventLoopMonitorTest {
+    /** Guards against requests that count as just arrived, although the event loop has been busy since long before. */
+    @Test
+    fun `tells while the loop is late and in the measurement after it for how long requests may have waited`() = runTest {
+        val process = SuspendableProcess(testScheduler)
+        val monitor = EventLoopMonitor(process, RecordingEventLog())
+        backgroundScope.launch(process.dispatcher) { monitor.run() }
+        testScheduler.advanceTimeBy(1_010)
+        expectThat(monitor.possibleWaitMs).isEqualTo(0)
+        process.suspend()
+        testScheduler.advanceTimeBy(1_000)
+        expectThat(monitor.possibleWaitMs).isGreaterThan(700)
+        process.resume(stoppedClockMs = 0)
+        testScheduler.advanceTimeBy(1)
+        expectThat(monitor.possibleWaitMs).isGreaterThan(700)
+        testScheduler.advanceTimeBy(300)
+        expectThat(monitor.possibleWaitMs).isEqualTo(0)
+    }
+}
