Pass an answer of the store through all layers in one turn of a busy event loop

Callers saw routes refused with 404, and targets used after they had said that they leave, on routers that read the streams seconds late (CONFIG, DRAIN): above all routers on small hosts in their first seconds, whose event loop was 0.3 to 0.5 s late.

Cause: an answer of the store passes through several coroutines (HTTP client, DirectStoreAccess, FailoverStoreAccess, StreamFollower), and each of them was resumed by a task behind all tasks that were due. So the delay of the event loop counted once for each layer.

The coroutines of the followers, of the check whether the store is back and of the reports to the planner now go on at once when they are resumed on the event loop. Coroutines that resume each other there still run one after the other. State stays confined to the event loop, and the supervisor restarts and cancels the tasks as before. PlannerBackedStore replaces its signal before it completes the old one, because the reader may go on within that call.

Sending a request still takes a turn: a write within the decoding of the response before it could be answered by surplus bytes of that response. Requests of callers, relay calls and the planner keep the queued dispatcher.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -1,7 +1,6 @@
 package yuccaflow.entry
 
 import kotlinx.coroutines.CompletableJob
-import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
@@ -56,6 +55,7 @@
 import yuccaflow.entry.telemetry.EventLoopMonitor
 import yuccaflow.entry.telemetry.Events
 import yuccaflow.entry.telemetry.RouterMeters
+import yuccaflow.http.EventLoopDispatchers
 import yuccaflow.http.HttpClient
 import yuccaflow.http.HttpHandler
 import yuccaflow.http.HttpResponse
@@ -106,17 +106,17 @@
 /**
  * A router that forwards callers' requests directly to targets, which verify the expected instance and the ownership of keys themselves.
  *
- * All of its shared state is read from the platform's store. Confined to the event loop of [dispatcher].
+ * All of its shared state is read from the platform's store. Confined to the event loop of [dispatchers].
  */
 class Gateway(
     private val settings: GatewaySettings,
     private val platform: PlatformServices,
     private val timer: TimerService,
-    private val dispatcher: CoroutineDispatcher,
+    private val dispatchers: EventLoopDispatchers,
     private val events: EventLog,
 ) {
     private val supervisor = SupervisorJob()
-    private val scope = CoroutineScope(supervisor + dispatcher)
+    private val scope = CoroutineScope(supervisor + dispatchers.queued)
     private val keyOwnershipSettings = KeyOwnershipSettings()
     private val incarnationId = UUID.randomUUID().toString()
     private val directStoreAccess = DirectStoreAccess(platform.store, platform.group, timer, events)
@@ -165,9 +165,11 @@
     suspend fun run(stop: CompletableJob) {
         logStart()
         registerGauges()
-        val callers = httpServer(settings.callerListen, dispatcher, ::callerLimits, requestRouter())
-        val readiness = httpServer(settings.readyListen, dispatcher, { HttpServerLimits() }, HttpHandler { readinessResponse(it.path) })
-        val metrics = httpServer(settings.metricsListen, dispatcher, { HttpServerLimits() }, HttpHandler { metricsResponse(it.path) })
+        val callers = httpServer(settings.callerListen, dispatchers.queued, ::callerLimits, requestRouter())
+        val readiness =
+            httpServer(settings.readyListen, dispatchers.queued, { HttpServerLimits() }, HttpHandler { readinessResponse(it.path) })
+        val metrics =
+            httpServer(settings.metricsListen, dispatchers.queued, { HttpServerLimits() }, HttpHandler { metricsResponse(it.path) })
         val relayCalls =
             relayHandler(
                 directStoreAccess,
@@ -177,8 +179,8 @@
                 platform.keyGrantClient,
                 PlannerEndpoint(authority, clusterState, timer),
             )
-        val relays = httpServer(settings.relayListen, dispatcher, ::relayLimits, relayCalls)
-        withContext(dispatcher) {
+        val relays = httpServer(settings.relayListen, dispatchers.queued, ::relayLimits, relayCalls)
+        withContext(dispatchers.queued) {
             startTasks(stop)
             stop.join()
             stopGracefully(callers)
@@ -195,17 +197,17 @@
     /** Starts the background tasks, which run until the gateway stops. Completes [stop] if one of them fails too often. */
     private fun startTasks(stop: CompletableJob) {
         val tasks = listOf(
-            SupervisedTask("operators") { operatorsFollower.run() },
-            SupervisedTask("targets") { targetsFollower.run() },
-            SupervisedTask("records") { clusterStateFollower.run() },
-            SupervisedTask("store") { directStoreAccess.recheckWhileUnavailable() },
+            streamTask("operators") { operatorsFollower.run() },
+            streamTask("targets") { targetsFollower.run() },
+            streamTask("records") { clusterStateFollower.run() },
+            streamTask("store") { directStoreAccess.recheckWhileUnavailable() },
             SupervisedTask("event-loop") { eventLoopMonitor.run() },
             SupervisedTask("member") {
                 announceMember()
                 awaitCancellation()
             },
             SupervisedTask("planner") { planner.run() },
-            SupervisedTask("reports") { routerReporter().run() },
+            streamTask("reports") { routerReporter().run() },
         )
         val supervision = scope.launch {
             val failed = Supervisor(timer).run(tasks)
@@ -215,6 +217,13 @@
         supervision.invokeOnCompletion { stop.complete() }
     }
 
+    /**
+     * Returns a task on which the age of the streams depends. An answer of the store passes through several coroutines, which must not each
+     * wait behind the callers' requests.
+     */
+    private fun streamTask(name: String, run: suspend () -> Unit) =
+        SupervisedTask(name) { withContext(dispatchers.immediate) { run() } }
+
     /** Adds this router to the members. Limits that all routers share are divided by the number of members. */
     private suspend fun announceMember() {
         while (clusterState.endOffset == null) timer.sleep(ANNOUNCE_RETRY_MS)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
@@ -33,8 +33,10 @@
     /** Ends any read at the planner and reads the store for [BYPASS_MS], because the store has records that the planner may not have. */
     fun bypassPlanner() {
         bypassUntilMs = timer.nowMs() + BYPASS_MS
-        bypassed.complete(Unit)
+        // The read may go on within the call that completes the signal, and must then find the next one.
+        val current = bypassed
         bypassed = CompletableDeferred()
+        current.complete(Unit)
     }
 
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
@@ -11,8 +11,6 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
 import io.netty.util.concurrent.RejectedExecutionHandlers
-import kotlinx.coroutines.CoroutineDispatcher
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -29,9 +27,9 @@
 
     val group: EventLoopGroup by lazy { newEventLoops(threads) }
 
-    fun useOneThread(): CoroutineDispatcher {
+    fun useOneThread(): EventLoopDispatchers {
         threads = 1
-        return group.next().asCoroutineDispatcher()
+        return EventLoopDispatchers.of(group.next())
     }
 }
 
@@ -55,12 +53,12 @@
 private const val TASK_QUANTUM_MS = 100L
 
 /**
- * Makes all servers and clients of the process use a single event loop and returns it as a dispatcher. Coroutines on this dispatcher
+ * Makes all servers and clients of the process use a single event loop and returns its dispatchers. Coroutines on these dispatchers
  * receive network events without a thread switch, which saves most of the CPU time of a small request on a host with one core.
  *
  * Must be called before the first server or client is created.
  */
-fun useSingleEventLoop(): CoroutineDispatcher = EventLoops.useOneThread()
+fun useSingleEventLoop(): EventLoopDispatchers = EventLoops.useOneThread()
 
 /**
  * Ends the process with [status] when one of its event loops has ended, which happens only when a thread fails. The connections of that
