Read through several other routers side by side, so that one that does not answer delays nothing

Callers got the old configuration for seconds: a router that read through others because its store was silent asked them one after the other. One that did not answer cost its whole time, 2.7 s for a wait and 0.7 s for a read without one, and two such steps do not fit into the two seconds in which a configuration takes effect (seen once at 2.7 s for the first router).

A read of following records is now sent to two routers at once, and to another one, up to four, when an answer is unusable or none has come 250 ms after the read's wait. Reads change nothing, so they can be sent several times.

Cost: two reads of the store instead of one for each long-polling read while a router reads through others.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
@@ -20,13 +20,17 @@
  * Settings of store calls that are relayed through other routers.
  *
  * @property directRetryMs time after a failed direct call until the next direct attempt.
- * @property routersPerCall number of other routers that are tried for one call.
+ * @property routersPerCall number of other routers that are tried for one call, one after the other.
+ * @property routersPerRead number of other routers that are tried for one read of following records, side by side.
+ * @property hedgeDelayMs time without an answer, in addition to the wait of a read, after which another router is asked as well.
  * @property maxWaitMs longest wait for records in a relayed read.
  * @property callTimeoutMs time for one call in addition to its wait.
  */
 internal data class RelaySettings(
     val directRetryMs: Long = 1_000,
     val routersPerCall: Int = 2,
+    val routersPerRead: Int = 4,
+    val hedgeDelayMs: Long = 250,
     val maxWaitMs: Long = 2_000,
     val callTimeoutMs: Long = 700,
 )
@@ -47,6 +51,7 @@
     private val settings: RelaySettings = RelaySettings(),
 ) : KeyedStore,
     RouterGroup {
+    private val hedgedRelay = HedgedRelay(client, peers, timer, settings)
     private var relayedSinceMs: Long? = null
 
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult {
@@ -60,11 +65,7 @@
         val relayedWaitMs = waitMs.coerceAtMost(settings.maxWaitMs)
         val call = RelayCall.Read(stream, fromOffset, relayedWaitMs)
         return withFailover({ direct.read(stream, fromOffset, waitMs) }, { it is StreamReadResult.Failed }, isLongPoll = true) {
-            when (val answer = callPeersWhileUnavailable(call, relayedWaitMs)) {
-                is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
-                RelayAnswer.Expired -> StreamReadResult.Expired
-                else -> null
-            }
+            readThroughPeersWhileUnavailable(call, relayedWaitMs)
         }
     }
 
@@ -117,9 +118,9 @@
     private fun isRetryDue(): Boolean = direct.failedAtMs?.let { timer.nowMs() - it >= settings.directRetryMs } ?: true
 
     /** Returns the first usable answer of a few other routers, or null if there is none. An append with unknown outcome is not repeated. */
-    private suspend fun callPeers(call: RelayCall, waitMs: Long = 0): RelayAnswer? {
+    private suspend fun callPeers(call: RelayCall): RelayAnswer? {
         for (peer in peers().shuffled().take(settings.routersPerCall)) {
-            val answer = client.send(peer, call, waitMs + settings.callTimeoutMs)
+            val answer = client.send(peer, call, settings.callTimeoutMs)
             val isUnusable = answer == RelayAnswer.NotServed || (answer is RelayAnswer.Unknown && call !is RelayCall.Append)
             if (isUnusable) continue
             recordRelayedCall(peer)
@@ -128,12 +129,22 @@
         return null
     }
 
+    private suspend fun readThroughPeers(call: RelayCall.Read, waitMs: Long): StreamReadResult? {
+        val relayed = hedgedRelay.send(call, waitMs) ?: return null
+        recordRelayedCall(relayed.peer)
+        return when (val answer = relayed.answer) {
+            is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
+            RelayAnswer.Expired -> StreamReadResult.Expired
+            else -> null
+        }
+    }
+
     /**
-     * Calls other routers as [callPeers] does, but returns null as soon as the store is available to this one: another router may keep the
-     * call waiting, or not answer it at all.
+     * Reads as [readThroughPeers] does, but returns null as soon as the store is available to this router: other routers may keep the call
+     * waiting, or not answer it at all.
      */
-    private suspend fun callPeersWhileUnavailable(call: RelayCall, waitMs: Long): RelayAnswer? = coroutineScope {
-        val relayed = async { callPeers(call, waitMs) }
+    private suspend fun readThroughPeersWhileUnavailable(call: RelayCall.Read, waitMs: Long): StreamReadResult? = coroutineScope {
+        val relayed = async { readThroughPeers(call, waitMs) }
         val available = async { direct.awaitAvailable() }
         select {
             relayed.onAwait { it }
