Ask other routers when the store leaves a read without a wait unanswered for 250 ms

Some routers applied a change only seconds after others: the store was silent for them (calls get no answer, nothing is reset). They heard from other routers that there were news, or noticed that their view was too old, and read without a wait. That read counts as failed after 1.5 s, and only then other routers were asked, too late for the two seconds in which a configuration takes effect.

If such a read has no answer after 250 ms, other routers are asked while the direct call goes on; the first usable answer wins. An answer of another router says nothing about this router's store, so it neither ends nor renews its availability. Instead a short call checks the store, so that a router does not go on waiting at a silent one. Only reads without a wait are hedged; appends never are. While the store answers in time there are no additional calls.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -41,6 +41,7 @@
         lastFailureAtMs.first { it == null }
     }
 
+    private var isCheckRequested = false
     private var slowAtMs: Long? = null
 
     /**
@@ -84,14 +85,21 @@
 
     override suspend fun leave(member: String) = group.leave(member)
 
+    /** Requests a call that shows whether the store is available. To be called if one was given up because it took long. */
+    fun requestCheck() {
+        isCheckRequested = true
+    }
+
     /**
-     * Calls the store from time to time while it is unavailable, until cancelled. Long-polling reads are not made directly in that state,
-     * so a router that makes no other calls would not notice that the store is back.
+     * Calls the store from time to time while it is unavailable, and when a check was requested, until cancelled. Long-polling reads are
+     * not made directly in that state, so a router that makes no other calls would not notice that the store is back.
      */
     suspend fun recheckWhileUnavailable() {
         while (true) {
             timer.sleep(RECHECK_INTERVAL_MS)
-            if (!isAvailable) members()
+            if (isAvailable && !isCheckRequested) continue
+            isCheckRequested = false
+            members()
         }
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
 import yuccaflow.base.TimerService
@@ -64,7 +65,9 @@
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
         val relayedWaitMs = waitMs.coerceAtMost(settings.maxWaitMs)
         val call = RelayCall.Read(stream, fromOffset, relayedWaitMs)
-        return withFailover({ direct.read(stream, fromOffset, waitMs) }, { it is StreamReadResult.Failed }, isLongPoll = true) {
+        val directly = suspend { direct.read(stream, fromOffset, waitMs) }
+        val hedge = suspend { readThroughPeers(call, relayedWaitMs) }.takeIf { waitMs == 0L }
+        return withFailover(directly, { it is StreamReadResult.Failed }, isLongPoll = true, hedge) {
             readThroughPeersWhileUnavailable(call, relayedWaitMs)
         }
     }
@@ -98,21 +101,42 @@
 
     /**
      * Calls [directly], or [throughPeers] if the direct call fails or has failed recently. After a failure, only short calls are tried
-     * directly, because a long-polling read would show late whether the store is available again.
+     * directly, because a long-polling read would show late whether the store is available again. [hedge] is called as well if the direct
+     * call takes long.
      */
     private suspend fun <T> withFailover(
         directly: suspend () -> T,
         hasFailed: (T) -> Boolean,
         isLongPoll: Boolean = false,
+        hedge: (suspend () -> T?)? = null,
         throughPeers: suspend () -> T?,
     ): T {
         if (!direct.isAvailable && (isLongPoll || !isRetryDue())) return throughPeers() ?: directly()
-        val result = directly()
-        if (!hasFailed(result)) {
-            recordDirectCall()
-            return result
+        val directlyRecorded = suspend { directly().also { if (!hasFailed(it)) recordDirectCall() } }
+        val result = if (hedge == null) directlyRecorded() else withHedge(directlyRecorded, hedge)
+        return if (hasFailed(result)) throughPeers() ?: result else result
+    }
+
+    /**
+     * Calls [directly], and [hedge] too if there is no result after [RelaySettings.hedgeDelayMs]: a silent store shows only at the timeout
+     * of the direct call. Returns the first result. One of [hedge] says nothing about the store, so that has to be checked then.
+     */
+    private suspend fun <T> withHedge(directly: suspend () -> T, hedge: suspend () -> T?): T = coroutineScope {
+        val directCall = async { directly() }
+        val hedgedCall = async {
+            timer.sleep(settings.hedgeDelayMs)
+            hedge() ?: awaitCancellation()
+        }
+        select {
+            directCall.onAwait { it }
+            hedgedCall.onAwait {
+                direct.requestCheck()
+                it
+            }
+        }.also {
+            directCall.cancel()
+            hedgedCall.cancel()
         }
-        return throughPeers() ?: result
     }
 
     private fun isRetryDue(): Boolean = direct.failedAtMs?.let { timer.nowMs() - it >= settings.directRetryMs } ?: true
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/LateNewsTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/LateNewsTest.kt
@@ -51,6 +51,23 @@
         simulation.expectInForceEverywhere(appends = 5, Random(21))
     }
 
+    /** Guards against a router that notices only after seconds that the store is silent, and applies a change that late (CONFIG). */
+    @ParameterizedTest
+    @ValueSource(ints = [41, 42, 43, 44, 45, 46])
+    fun `is read within two seconds by routers that the store does not answer any more`(seed: Int) = runTest {
+        val simulation = simulation(seed, missedShare = 0.7)
+        val random = Random(seed)
+        simulation.planner = simulation.routers.first().relay
+        repeat(SILENCES) {
+            val cut = simulation.routers.shuffled(random).take(SILENT_ROUTERS)
+            cut.forEach { it.isStoreSilent = true }
+            simulation.advance(random.nextLong(MAX_GAP_MS))
+            simulation.expectInForceEverywhere(appends = 2, random)
+            cut.forEach { it.isStoreSilent = false }
+            simulation.advance(SETTLED_MS)
+        }
+    }
+
     /** Guards against calls to the store that grow with the routers, which cost more than they help at 88 routers. */
     @Test
     fun `costs few calls while there are no news`() = runTest {
@@ -65,6 +82,8 @@
 
     private companion object {
         const val ROUTERS = 12
+        const val SILENCES = 4
+        const val SILENT_ROUTERS = 4
         const val IN_FORCE_MS = 2_000L
         const val SETTLED_MS = 3_000L
         const val MAX_GAP_MS = 4_000L
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/NewsSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/NewsSimulation.kt
@@ -13,6 +13,7 @@
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.RecordingEventLog
+import yuccaflow.entry.fake.SilentStore
 import yuccaflow.entry.fake.StubKeyGrantClient
 import yuccaflow.entry.fake.VirtualTimer
 import yuccaflow.entry.keys.ClusterState
@@ -56,10 +57,7 @@
     private inner class MissingStore(
         private val store: FakeStore,
     ) : KeyedStore by store {
-        var reads = 0
-
         override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
-            reads++
             val isMissing = waitMs > 0 && random.nextDouble() < missedShare
             val before = store.read(stream, fromOffset, if (isMissing) 0 else waitMs)
             val isOver = !isMissing || before !is StreamReadResult.Read || before.records.isNotEmpty()
@@ -73,9 +71,9 @@
         val relay: SocketAddress,
     ) {
         private val ownStore = FakeStore(data)
-        private val store = MissingStore(ownStore)
+        private val store = SilentStore(MissingStore(ownStore), ownStore, timer)
         private val log = RecordingEventLog()
-        private val direct = DirectStoreAccess(store, ownStore, timer, log)
+        private val direct = DirectStoreAccess(store, store, timer, log)
         private val client = RelayClient(RoutedHttpClient())
         private val access = FailoverStoreAccess(direct, client, { others() }, timer, log)
         private val listener = object : StreamListener {
@@ -102,6 +100,9 @@
         /** Number of reads of the store so far. */
         val reads get() = store.reads
 
+        /** Whether the answers of the store to this router get lost. */
+        var isStoreSilent by store::isSilent
+
         init {
             handlers[relay] =
                 relayHandler(
@@ -112,6 +113,7 @@
                     StubKeyGrantClient(),
                     PlannerEndpoint(authority, clusterState, timer),
                 )
+            scope.backgroundScope.launch { direct.recheckWhileUnavailable() }
             scope.backgroundScope.launch { follower.run() }
             scope.backgroundScope.launch { reporter.run() }
         }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/SilentStoreFailoverTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/SilentStoreFailoverTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeoutOrNull
@@ -15,6 +16,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.fake.FakeRecords
@@ -114,6 +116,74 @@
         override suspend fun close() = Unit
     }
 
+    @Nested
+    @DisplayName("reads without a wait")
+    inner class ImmediateReads {
+        /** Guards against news that are read only after the direct call's timeout, although other routers have them (CONFIG). */
+        @Test
+        fun `through another router within half a second`() = runTest {
+            val fixture = Fixture(this, peerCount = 3)
+            fixture.data.append(KeyedStream.OPERATORS, fixture.change)
+            fixture.store.isSilent = true
+            val startedAtMs = fixture.timer.nowMs()
+            val result = fixture.read(waitMs = 0)
+            expectThat(result).isA<StreamReadResult.Read>().get { records }.hasSize(1)
+            expectThat(fixture.timer.nowMs() - startedAtMs).isLessThan(500)
+        }
+
+        /** Guards against a read that depends on the one router it asks: those that are asked may have lost the store as well. */
+        @Test
+        fun `within a second if two of the other routers are silent too`() = runTest {
+            val fixture = Fixture(this, peerCount = 3)
+            fixture.store.isSilent = true
+            fixture.peers[0].store.isSilent = true
+            fixture.peers[1].isAnswering = false
+            val startedAtMs = fixture.timer.nowMs()
+            expectThat(fixture.read(waitMs = 0)).isA<StreamReadResult.Read>()
+            expectThat(fixture.timer.nowMs() - startedAtMs).isLessThan(1_000)
+        }
+
+        /** Guards against a router that goes on waiting at a silent store because a relayed answer hid the silence. */
+        @Test
+        fun `and then notices that the store is unavailable`() = runTest {
+            val fixture = Fixture(this, peerCount = 3)
+            backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+            val wait = async { fixture.direct.read(KeyedStream.OPERATORS, 0, 25_000) }
+            testScheduler.advanceTimeBy(100)
+            fixture.store.isSilent = true
+            fixture.read(waitMs = 0)
+            expectThat(fixture.direct.isAvailable).isTrue()
+            testScheduler.advanceTimeBy(SILENCE_NOTICED_MS)
+            expectThat(fixture.direct.isAvailable).isFalse()
+            expectThat(wait.await()).isA<StreamReadResult.Failed>()
+        }
+
+        /** Guards against a store that counts as lost because one of its answers was late. */
+        @Test
+        fun `and keeps to the store if it answers again`() = runTest {
+            val fixture = Fixture(this, peerCount = 3)
+            backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+            fixture.store.isSilent = true
+            fixture.read(waitMs = 0)
+            fixture.store.isSilent = false
+            testScheduler.advanceTimeBy(SILENCE_NOTICED_MS)
+            expectThat(fixture.direct.isAvailable).isTrue()
+            expectThat(fixture.log.count("relay_started")).isEqualTo(1)
+            fixture.read(waitMs = 0)
+            expectThat(fixture.log.count("relay_ended")).isEqualTo(1)
+        }
+
+        /** Guards against calls to other routers, and through them to the store, while the store answers promptly. */
+        @Test
+        fun `through no other router while the store answers`() = runTest {
+            val fixture = Fixture(this, peerCount = 3)
+            repeat(20) { fixture.read(waitMs = 0) }
+            testScheduler.advanceTimeBy(SILENCE_NOTICED_MS)
+            expectThat(fixture.relayedRequests()).isEqualTo(0)
+            expectThat(fixture.store.reads).isEqualTo(20)
+        }
+    }
+
     @Nested
     @DisplayName("reads through other routers")
     inner class RelayedReads {
@@ -170,5 +240,8 @@
     private companion object {
         const val HOP_MS = 2L
         const val READS = 10
+
+        /** Time for a recheck to begin and to reach its timeout. */
+        const val SILENCE_NOTICED_MS = 2_500L
     }
 }
