--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
 import yuccaflow.base.TimerService
@@ -20,13 +21,17 @@
  * Settings of store calls that are relayed through other routers.
  *
  * @property directRetryMs time after a failed direct call until the next direct attempt.
- * @property routersPerCall number of other routers that are tried for one call.
+ * @property routersPerCall number of other routers that are tried for one call, one after the other.
+ * @property routersPerRead number of other routers that are tried for one read of following records, side by side.
+ * @property hedgeDelayMs time without an answer, in addition to the wait of a read, after which another router is asked as well.
  * @property maxWaitMs longest wait for records in a relayed read.
  * @property callTimeoutMs time for one call in addition to its wait.
  */
 internal data class RelaySettings(
     val directRetryMs: Long = 1_000,
     val routersPerCall: Int = 2,
+    val routersPerRead: Int = 4,
+    val hedgeDelayMs: Long = 250,
     val maxWaitMs: Long = 2_000,
     val callTimeoutMs: Long = 700,
 )
@@ -47,6 +52,7 @@
     private val settings: RelaySettings = RelaySettings(),
 ) : KeyedStore,
     RouterGroup {
+    private val hedgedRelay = HedgedRelay(client, peers, timer, settings)
     private var relayedSinceMs: Long? = null
 
     override suspend fun snapshot(stream: KeyedStream): SnapshotResult {
@@ -59,12 +65,10 @@
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
         val relayedWaitMs = waitMs.coerceAtMost(settings.maxWaitMs)
         val call = RelayCall.Read(stream, fromOffset, relayedWaitMs)
-        return withFailover({ direct.read(stream, fromOffset, waitMs) }, { it is StreamReadResult.Failed }, isLongPoll = true) {
-            when (val answer = callPeersWhileUnavailable(call, relayedWaitMs)) {
-                is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
-                RelayAnswer.Expired -> StreamReadResult.Expired
-                else -> null
-            }
+        val directly = suspend { direct.read(stream, fromOffset, waitMs) }
+        val hedge = suspend { readThroughPeers(call, relayedWaitMs) }.takeIf { waitMs == 0L }
+        return withFailover(directly, { it is StreamReadResult.Failed }, isLongPoll = true, hedge) {
+            readThroughPeersWhileUnavailable(call, relayedWaitMs)
         }
     }
 
@@ -97,29 +101,50 @@
 
     /**
      * Calls [directly], or [throughPeers] if the direct call fails or has failed recently. After a failure, only short calls are tried
-     * directly, because a long-polling read would show late whether the store is available again.
+     * directly, because a long-polling read would show late whether the store is available again. [hedge] is called as well if the direct
+     * call takes long.
      */
     private suspend fun <T> withFailover(
         directly: suspend () -> T,
         hasFailed: (T) -> Boolean,
         isLongPoll: Boolean = false,
+        hedge: (suspend () -> T?)? = null,
         throughPeers: suspend () -> T?,
     ): T {
         if (!direct.isAvailable && (isLongPoll || !isRetryDue())) return throughPeers() ?: directly()
-        val result = directly()
-        if (!hasFailed(result)) {
-            recordDirectCall()
-            return result
+        val directlyRecorded = suspend { directly().also { if (!hasFailed(it)) recordDirectCall() } }
+        val result = if (hedge == null) directlyRecorded() else withHedge(directlyRecorded, hedge)
+        return if (hasFailed(result)) throughPeers() ?: result else result
+    }
+
+    /**
+     * Calls [directly], and [hedge] too if there is no result after [RelaySettings.hedgeDelayMs]: a silent store shows only at the timeout
+     * of the direct call. Returns the first result. One of [hedge] says nothing about the store, so that has to be checked then.
+     */
+    private suspend fun <T> withHedge(directly: suspend () -> T, hedge: suspend () -> T?): T = coroutineScope {
+        val directCall = async { directly() }
+        val hedgedCall = async {
+            timer.sleep(settings.hedgeDelayMs)
+            hedge() ?: awaitCancellation()
+        }
+        select {
+            directCall.onAwait { it }
+            hedgedCall.onAwait {
+                direct.requestCheck()
+                it
+            }
+        }.also {
+            directCall.cancel()
+            hedgedCall.cancel()
         }
-        return throughPeers() ?: result
     }
 
     private fun isRetryDue(): Boolean = direct.failedAtMs?.let { timer.nowMs() - it >= settings.directRetryMs } ?: true
 
     /** Returns the first usable answer of a few other routers, or null if there is none. An append with unknown outcome is not repeated. */
-    private suspend fun callPeers(call: RelayCall, waitMs: Long = 0): RelayAnswer? {
+    private suspend fun callPeers(call: RelayCall): RelayAnswer? {
         for (peer in peers().shuffled().take(settings.routersPerCall)) {
-            val answer = client.send(peer, call, waitMs + settings.callTimeoutMs)
+            val answer = client.send(peer, call, settings.callTimeoutMs)
             val isUnusable = answer == RelayAnswer.NotServed || (answer is RelayAnswer.Unknown && call !is RelayCall.Append)
             if (isUnusable) continue
             recordRelayedCall(peer)
@@ -128,12 +153,22 @@
         return null
     }
 
+    private suspend fun readThroughPeers(call: RelayCall.Read, waitMs: Long): StreamReadResult? {
+        val relayed = hedgedRelay.send(call, waitMs) ?: return null
+        recordRelayedCall(relayed.peer)
+        return when (val answer = relayed.answer) {
+            is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
+            RelayAnswer.Expired -> StreamReadResult.Expired
+            else -> null
+        }
+    }
+
     /**
-     * Calls other routers as [callPeers] does, but returns null as soon as the store is available to this one: another router may keep the
-     * call waiting, or not answer it at all.
+     * Reads as [readThroughPeers] does, but returns null as soon as the store is available to this router: other routers may keep the call
+     * waiting, or not answer it at all.
      */
-    private suspend fun callPeersWhileUnavailable(call: RelayCall, waitMs: Long): RelayAnswer? = coroutineScope {
-        val relayed = async { callPeers(call, waitMs) }
+    private suspend fun readThroughPeersWhileUnavailable(call: RelayCall.Read, waitMs: Long): StreamReadResult? = coroutineScope {
+        val relayed = async { readThroughPeers(call, waitMs) }
         val available = async { direct.awaitAvailable() }
         select {
             relayed.onAwait { it }
