Show in a failing test that the wait for a recent routing table is not counted as time of the request

What callers would see: a request that waited 200 ms for a recent table is given 200 ms more than its caller has left, at its target and in this router, and the time of its route ends 200 ms late.

Cause: RequestRouter reads the start of the request, and derives its deadline from it, after RouteFinder.find has returned.

The product code is not changed here; reading the time before the route is looked up would repair it.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 
 @DisplayName("A request router whose routing table may be out of date")
@@ -52,10 +53,22 @@
             expectThat(handleRequest("/read/x").status).isEqualTo(200)
             expectThat(sent).hasSize(1)
         }
+
+        /** Guards against a target that is given more time than the caller has left, because the wait for the news is not counted. */
+        @Test
+        fun `counts the wait for the news as time of the request`() = runTest {
+            freshness.freshAtMs = timer.now - TABLE_AGE_MS
+            freshness.onWait = { timer.now += WAIT_MS }
+            handleRequest("/read/x", deadlineMs = DEADLINE_MS)
+            val headers = sent.single().second.headers
+            expectThat(headers[names.deadlineMs]!!.toLong()).isLessThanOrEqualTo(DEADLINE_MS - WAIT_MS)
+        }
     }
 
     private companion object {
         /** More than the two seconds in which changes must be in force. */
         const val TABLE_AGE_MS = 2_100L
+        const val WAIT_MS = 200L
+        const val DEADLINE_MS = 900L
     }
 }
