Show in a failing test that a removal that is read late is dated from its reading after any failed call

What callers would see: requests go to a target for up to 1.7 s after this router has read its removal, however late that was (DRAIN).

Cause: TargetDirectory.markRemoved ignores writtenAfterMs where one call of this router to the store has failed in the last 3 s. A failed call also makes the removal late, so both come together. An entry that was present less than two heartbeats ago cannot have expired in the outage.

Evidence: the new test of TargetDirectoryTest fails: removed at most 1.5 s before it is read, the target is still found 2.0 s after. The product code is not changed here; the grace period could start at writtenAfterMs where that is less than 1.7 s ago.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
@@ -51,6 +51,19 @@
         expectThat(directory.find("t")).isNull()
     }
 
+    /** Guards against requests to a stopped target whose removal was read late, on a router that also lost one call to the store (DRAIN). */
+    @Test
+    fun `a target whose removal is read late after a failed call is kept for less than two seconds after the removal`() {
+        write(FakeRecords.entry("t", 1))
+        val writtenAfterMs = timer.now
+        timer.now += 1_000
+        storeFailedAtMs = timer.now
+        timer.now += 500
+        directory.onRecords(listOf(KeyedRecord("t", null, offset)), offset + 1, writtenAfterMs)
+        timer.now = writtenAfterMs + 2_000
+        expectThat(directory.find("t")).isNull()
+    }
+
     /** Guards against new requests to a leaving target because an older entry of the same process arrives after the newer one. */
     @Test
     fun `a target that leaves stays leaving until it starts again`() {
