Show in a failing test that each request waits in vain while the store answers slowly

What callers would see: while a read takes longer than half a second, requests of all routes take up to 200 ms longer for a part of the time, also those whose route is known; at reads that are silent until their time limit, for about a second.

Cause: awaitFresh returns at once only after a call has failed. A call that is slow, or silent and not yet given up, has not failed.

Evidence: 'lets one request wait in vain for a read, and not each of those that follow' fails: five requests in turn wait 1,000 ms at a store that takes 1,400 ms. The product code is not changed here; a wait that ended in vain could spare those that follow until the read has ended.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/DeafStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/DeafStore.kt
@@ -23,6 +23,9 @@
     /** Whether new calls fail. Waits that are under way stay silent. */
     var isDown = false
 
+    /** Time that a call takes besides its wait. */
+    var callMs = 4L
+
     /** Appends a record. Waits that are under way do not notice it if [isMissed]. */
     fun append(key: String, isMissed: Boolean = true) {
         records += KeyedRecord(key, "v".toByteArray(), records.size.toLong())
@@ -33,15 +36,11 @@
 
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
         reads++
-        delay(CALL_MS)
+        delay(callMs)
         if (isDown) return StreamReadResult.Failed("down")
         if (records.size <= fromOffset) withTimeoutOrNull(waitMs) { noticedEnd.first { it > fromOffset } }
         return StreamReadResult.Read(records.drop(fromOffset.toInt()), records.size.toLong())
     }
 
     override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?) = error("not used")
-
-    private companion object {
-        const val CALL_MS = 4L
-    }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
@@ -154,6 +154,18 @@
             expectThat(fixture.follower.isFresh(2_000)).isTrue()
         }
 
+        /** Guards against requests that each wait in vain while the store is slow or silent, although their routes are known. */
+        @Test
+        fun `lets one request wait in vain for a read, and not each of those that follow`() = runTest {
+            val fixture = Fixture(this, stale)
+            fixture.settle()
+            fixture.advance(5_000)
+            fixture.store.callMs = 1_400
+            val startedAtMs = fixture.timer.nowMs()
+            repeat(5) { fixture.follower.awaitFresh(maxAgeMs = 2_000, timeoutMs = 200) }
+            expectThat(fixture.timer.nowMs() - startedAtMs).isLessThanOrEqualTo(200)
+        }
+
         /** Guards against requests that all wait in vain while the store is down. */
         @Test
         fun `returns at once while the store cannot be reached`() = runTest {
