Show in a failing test that reads follow each other without a pause while the store names a later end than it shows records

What callers would see: nothing directly; the store charges and limits the calls of all routers together, and refuses those beyond with 429.

Cause: a read because of the age that finds a later end and no records ends the wait, and the next wait begins with such a read at once.

The product code is not changed here; the batch delay, or the shortest interval between reads that are caused from outside, could apply to these reads too.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/DeafStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/DeafStore.kt
@@ -26,6 +26,9 @@
     /** Time that a call takes besides its wait. */
     var callMs = 4L
 
+    /** Number of records by which the end of the stream is ahead of those that can be read. */
+    var hiddenRecords = 0
+
     /** Appends a record. Waits that are under way do not notice it if [isMissed]. */
     fun append(key: String, isMissed: Boolean = true) {
         records += KeyedRecord(key, "v".toByteArray(), records.size.toLong())
@@ -39,7 +42,7 @@
         delay(callMs)
         if (isDown) return StreamReadResult.Failed("down")
         if (records.size <= fromOffset) withTimeoutOrNull(waitMs) { noticedEnd.first { it > fromOffset } }
-        return StreamReadResult.Read(records.drop(fromOffset.toInt()), records.size.toLong())
+        return StreamReadResult.Read(records.drop(fromOffset.toInt()), records.size.toLong() + hiddenRecords)
     }
 
     override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?) = error("not used")
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
@@ -182,6 +182,18 @@
         }
     }
 
+    /** Guards against reads in quick succession, which the store limits and charges, while it names a later end than it shows records. */
+    @Test
+    fun `reads a few times a second at most while the store shows no records before its end`() = runTest {
+        val fixture = Fixture(this)
+        fixture.settle()
+        fixture.store.hiddenRecords = 1
+        fixture.advance(2_000)
+        val before = fixture.store.reads
+        fixture.advance(1_000)
+        expectThat(fixture.store.reads - before).isLessThan(10)
+    }
+
     private companion object {
         const val IN_FORCE_MS = 2_000L
         const val SETTLED_MS = 1_300L
