Show in a failing test that all routers call the store at the same moment when the planner is lost

What callers would see: at large installations the store refuses calls with 429, which counts as a failed call: waits of the router end, it reads through other routers, and keeps targets whose entries are removed.

Cause: routers date their views from the planner's read, and all read the store themselves at the same age. Their own reads then have the same age again, so the bursts repeat, and an exchange of positions between two routers comes too late for either.

Evidence: the new test of LateNewsTest fails: 13 reads of 12 routers in 150 ms, bound 6. The product code is not changed here; an age that differs by router and is drawn anew for each read would spread the calls and let an exchange spare most of them.

--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/LateNewsTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/LateNewsTest.kt
@@ -63,8 +63,26 @@
         expectThat(callsPerRouter).isLessThan(QUIET_MS / POLLING_MS.toDouble() / 2)
     }
 
+    /** Guards against a burst of calls beyond the limit that all routers share, because they all date their views from the planner's read. */
+    @Test
+    fun `does not make all routers call the store at the same time when the planner is lost`() = runTest {
+        val simulation = simulation(seed = 41, missedShare = 0.7)
+        simulation.planner = simulation.routers.first().relay
+        simulation.advance(SETTLED_MS)
+        simulation.routers.first().stopAnswering()
+        val callsByInterval = List((QUIET_MS / CALL_INTERVAL_MS).toInt()) {
+            val before = simulation.routers.sumOf { it.reads }
+            simulation.advance(CALL_INTERVAL_MS)
+            simulation.routers.sumOf { it.reads } - before
+        }
+        expectThat(callsByInterval.max()).isLessThanOrEqualTo(ROUTERS / 2)
+    }
+
     private companion object {
         const val ROUTERS = 12
+
+        /** A tenth of the age at which a router reads the store itself, so that evenly spread calls are few in each interval. */
+        const val CALL_INTERVAL_MS = 150L
         const val IN_FORCE_MS = 2_000L
         const val SETTLED_MS = 3_000L
         const val MAX_GAP_MS = 4_000L
