Count the grace period of a removed entry from the removal where that was recent

Cause: after any failed call of the last 3 s a removed entry was kept for 1.7 s from when it was read, whatever was known of its age; a failed call also makes the reading late, so both come together.

Evidence: 'a target whose removal is read late after a failed call is kept for less than two seconds after the removal' (TargetDirectoryTest) failed before. An entry that was present less than 1.7 s ago cannot have expired in an outage, which takes three heartbeats.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -120,8 +120,7 @@
         if (state.removal != null) return
         val nowMs = timer.nowMs()
         val mayBeDueToOutage = mayBeDueToOutage(nowMs)
-        // An entry that expired in an outage announces nothing. Its target is kept until it has had time to write another one.
-        state.removal = if (mayBeDueToOutage) Announcement(nowMs, nowMs) else Announcement.read(writtenAfterMs, nowMs)
+        state.removal = if (mayBeDueToOutage) removalInOutage(writtenAfterMs, nowMs) else Announcement.read(writtenAfterMs, nowMs)
         events.log(Events.TARGET_GONE) {
             put("target", id)
             put("service", state.entry.service)
@@ -131,6 +130,15 @@
         if (!mayBeDueToOutage) remove(id, state)
     }
 
+    /**
+     * An entry that expired in an outage announces nothing. Its target is kept until it has had time to write another one, counted from the
+     * removal where that was recent, and else from now, because the target may be able to write only since.
+     */
+    private fun removalInOutage(writtenAfterMs: Long?, nowMs: Long): Announcement {
+        val removedAtMs = writtenAfterMs?.takeIf { nowMs - it < REMOVAL_GRACE_MS } ?: nowMs
+        return Announcement(removedAtMs, removedAtMs)
+    }
+
     private fun isExpired(state: TargetState): Boolean {
         val removal = state.removal ?: return false
         return timer.nowMs() - removal.readAtMs >= REMOVAL_GRACE_MS
