Void ages over a suspension, spread reads of routers over time, and wait in vain only once

The planner reads every 0.5 s at most.

Also: a router that answers a report without positions does not count as a planner that tells them; positions are limited to one a stream.

--- a/yuccaflow-base/src/main/kotlin/yuccaflow/base/SystemTimerService.kt
+++ b/yuccaflow-base/src/main/kotlin/yuccaflow/base/SystemTimerService.kt
@@ -11,6 +11,8 @@
 internal class SystemTimerService : TimerService {
     override fun nowMs(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
 
+    override fun timeOfDayMs(): Long = System.currentTimeMillis()
+
     override fun every(periodMs: Long): Flow<Long> {
         require(periodMs > 0) { "expected a period above 0 ms, found $periodMs" }
         return flow {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/FollowerWaits.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/FollowerWaits.kt
@@ -41,8 +41,8 @@
         if (storeAccess.isSlow) settings.copy(waitMs = SLOW_STORE_WAIT_MS) else settings
 
     private companion object {
-        /** Leaves time for a report and its answer until the age at which the other routers read the store themselves. */
-        const val PLANNER_MAX_AGE_MS = 700L
+        /** Leaves time for a report and its answer until the earliest age at which the other routers read the store themselves. */
+        const val PLANNER_MAX_AGE_MS = 500L
 
         /** Longest wait of a read while the store is slow. */
         const val SLOW_STORE_WAIT_MS = 800L
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -135,7 +135,7 @@
     private val clusterStateStore =
         PlannerBackedStore(storeAccess, { clusterState.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
     private val clusterStateFollower: StreamFollower =
-        StreamFollower(clusterStateStore, KeyedStream.ROUTERS, timer, events, clusterState, waits::ofClusterState)
+        StreamFollower(clusterStateStore, KeyedStream.ROUTERS, timer, events, clusterState, settings = waits::ofClusterState)
     private val authority: PlannerAuthority =
         PlannerAuthority(settings.node, incarnationId, clusterState, timer, System::currentTimeMillis, keyOwnershipSettings, events) {
             clusterStateFollower.confirmedAtMs
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
@@ -1,9 +1,9 @@
 package yuccaflow.entry.keys
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.store.SuspensionDetector
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
-import kotlin.math.abs
 
 /**
  * The leader lease of the planner. This router may act as planner while the latest planner record names it and a read that confirmed so was
@@ -19,13 +19,12 @@
     private val incarnation: String,
     private val clusterState: ClusterState,
     private val timer: TimerService,
-    private val timeOfDayMs: () -> Long,
+    timeOfDayMs: () -> Long,
     private val settings: KeyOwnershipSettings,
     private val events: EventLog,
     private val confirmedAtMs: () -> Long?,
 ) {
-    private var clockOffsetMs = timeOfDayMs() - timer.nowMs()
-    private var validSinceMs = Long.MIN_VALUE
+    private val suspensions = SuspensionDetector(timer::nowMs, timeOfDayMs)
     private var wasValid = false
 
     /** Whether the latest planner record names this incarnation of this router. */
@@ -36,8 +35,8 @@
 
     /** Returns whether this router may act as planner now. */
     fun isValid(): Boolean {
-        voidConfirmationsAfterSuspension()
-        val confirmed = confirmedAtMs()?.takeIf { it >= validSinceMs }
+        val countedSinceMs = suspensions.uninterruptedSinceMs()
+        val confirmed = confirmedAtMs()?.takeIf { it >= countedSinceMs }
         val valid = isRecordedPlanner && confirmed != null && timer.nowMs() - confirmed < settings.authorityMs
         if (wasValid && !valid) {
             events.log(Events.AUTHORITY_EXPIRED) {
@@ -48,16 +47,4 @@
         wasValid = valid
         return valid
     }
-
-    private fun voidConfirmationsAfterSuspension() {
-        val nowMs = timer.nowMs()
-        val currentOffsetMs = timeOfDayMs() - nowMs
-        if (abs(currentOffsetMs - clockOffsetMs) > MAX_CLOCK_ADJUSTMENT_MS) validSinceMs = nowMs
-        clockOffsetMs = currentOffsetMs
-    }
-
-    private companion object {
-        /** Larger than any regular adjustment of the time of day between two checks. */
-        const val MAX_CLOCK_ADJUSTMENT_MS = 300L
-    }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -77,7 +77,8 @@
 
     /**
      * Reports the keys for which router [node] has received requests, by service, the targets that have told it in an answer that they
-     * leave, and how far it has read the streams. The receiver processes it itself and answers with its own positions.
+     * leave, and how far it has read the streams. The receiver processes it itself and answers with its own positions. The name is that of the
+     * report's first content, which routers of earlier versions know.
      */
     @Serializable
     class KeySamples(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
@@ -7,6 +7,7 @@
 import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.http.SocketAddress
+import kotlin.random.Random
 
 /**
  * Reports to the planner: the keys of this router's requests, by which the planner balances the key ranges, the targets that have told this
@@ -25,6 +26,7 @@
     private val otherRouters: () -> List<SocketAddress>,
     private val client: RelayClient,
     private val timer: TimerService,
+    private val random: Random = Random,
 ) {
     private var hasPlannerAnswered = false
 
@@ -45,16 +47,16 @@
     }
 
     private suspend fun exchangePositions() {
-        val router = otherRouters().randomOrNull() ?: return
+        val router = otherRouters().randomOrNull(random) ?: return
         send(router, RelayCall.KeySamples(node, emptyMap(), positions = positions.current()))
     }
 
-    /** Returns whether the router at [address] has answered. */
+    /** Returns whether the router at [address] has told its positions. */
     private suspend fun send(address: SocketAddress, call: RelayCall.KeySamples): Boolean {
         val sentAtMs = timer.nowMs()
         val answer = client.send(address, call, CALL_TIMEOUT_MS)
         if (answer is RelayAnswer.Positions) positions.learn(answer.positions, determinedAfterMs = sentAtMs)
-        return answer is RelayAnswer.Positions || answer == RelayAnswer.Done
+        return answer is RelayAnswer.Positions
     }
 
     private companion object {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/StreamPositions.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/StreamPositions.kt
@@ -25,11 +25,11 @@
     }
 
     /**
-     * Takes note of [positions] that another router has told. It determined them after [determinedAfterMs], or at an unknown time if that
+     * Takes note of [positions] that another router has told, at most one for each stream. It determined them after [determinedAfterMs], or at an unknown time if that
      * is null; its confirmations cannot be dated then.
      */
     fun learn(positions: List<RelayedPosition>, determinedAfterMs: Long? = null) {
-        for (position in positions) {
+        for (position in positions.take(followers.size)) {
             val confirmedAtMs = position.ageMs?.let { ageMs -> determinedAfterMs?.minus(ageMs.coerceAtLeast(0)) }
             followers.find { it.stream == position.stream }?.learnPosition(position.endOffset, confirmedAtMs)
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -85,13 +85,13 @@
         // The caller's time began when it sent the request, which a late event loop reads long after.
         val startedAtMs = timer.nowMs() - dependencies.readDelayMs()
         return when (val lookup = dependencies.routeFinder.find(id, request.headers["Host"].orEmpty(), request.path)) {
-            is RouteLookup.Found -> handle(request, id, lookup, startedAtMs)
+            is RouteLookup.Found -> routeOn(lookup, request, id, startedAtMs)
             RouteLookup.NoRoute -> errorResponses.noRoute(id)
             is RouteLookup.Unknown -> errorResponses.refused(id, lookup.reason, NOT_READY_RETRY_AFTER_MS)
         }
     }
 
-    private suspend fun handle(request: HttpRequest, id: String, found: RouteLookup.Found, startedAtMs: Long): HttpResponse {
+    private suspend fun routeOn(found: RouteLookup.Found, request: HttpRequest, id: String, startedAtMs: Long): HttpResponse {
         val table = found.table
         val route = found.route
         val service = pickService(route.shares)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
@@ -29,9 +29,8 @@
 /**
  * Finds the route of a request.
  *
- * If the routing table or the targets' entries may be out of date, the request waits a moment for the news; on an event loop that is late,
- * news and requests would otherwise be handled in the order in which their turns come. Where the news do not arrive, a route that is known
- * is used, but that a route does not exist is not claimed.
+ * If the routing table or the targets' entries may be out of date, the request waits a moment for a recent view: on an event loop that is
+ * late, new records wait behind requests. If there is none, a known route is used, but an unknown one is not reported as missing.
  *
  * @property tableFreshness tells how recent the routing table is.
  * @property targetsFreshness tells how recent the targets' entries are, on which the choice of a target for the request relies.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -30,6 +30,7 @@
  * Timing of a [StreamFollower].
  *
  * @property waitMs the longest wait for records in one long-polling read. Each call costs money, even if it returns no records.
+ * @property waitSpreadMs time by which [waitMs] is shortened at most, at random: routers that start together must not call together later.
  * @property catchUpWaitMs the longest wait of the first read after a snapshot or after records. A read that arrives while an append is
  * being executed may miss the appended records until its wait ends, and appends often come in groups.
  * @property recheckAfterMs time after the start of a longer wait at which the stream is read again without a wait, because the wait misses
@@ -37,11 +38,12 @@
  * @property batchDelayMs delay after records have arrived, so that one call can return several that follow.
  * @property initialBackoffMs delay after the first failed call. It doubles with each further failure up to [maxBackoffMs], plus jitter.
  * @property maxAgeMs the longest time for which neither a read nor another router may have confirmed that no records are missing, before
- * the stream is read without a wait; null if that does not matter.
+ * the stream is read without a wait, less up to a third at random; null if that does not matter.
  * @property minRefreshIntervalMs the shortest time between two reads that are caused from outside of the follower.
  */
 internal data class FollowerSettings(
     val waitMs: Long = 25_000,
+    val waitSpreadMs: Long = 0,
     val catchUpWaitMs: Long = 700,
     val recheckAfterMs: Long? = null,
     val maxAgeMs: Long? = null,
@@ -56,6 +58,7 @@
 
         /** Leaves half a second of the two in which records take effect for the read, directly or through another router. */
         private const val MAX_AGE_MS = 1_500L
+        private const val WAIT_SPREAD_MS = 5_000L
 
         /**
          * Settings for a stream whose records take effect within two seconds. The first wait after records is short also where waits are
@@ -63,14 +66,19 @@
          */
         fun prompt(
             batchDelayMs: Long,
-        ) = FollowerSettings(batchDelayMs = batchDelayMs, recheckAfterMs = RECHECK_AFTER_MS, maxAgeMs = MAX_AGE_MS)
+        ) = FollowerSettings(
+            batchDelayMs = batchDelayMs,
+            recheckAfterMs = RECHECK_AFTER_MS,
+            maxAgeMs = MAX_AGE_MS,
+            waitSpreadMs = WAIT_SPREAD_MS,
+        )
     }
 }
 
 /**
  * Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them.
  *
- * A long-polling read is only a hint that there are no news: the store may leave it waiting although a record was appended, and a silent
+ * A long-polling read is no proof that there are no new records: the store may leave it waiting although a record was appended, and a silent
  * connection looks the same. So what this follower knows has an age, the time since all records were last known to be passed on. Own reads
  * and the confirmations of other routers ([learnPosition]) renew it, and a follower whose knowledge is too old reads without a wait.
  */
@@ -80,6 +88,7 @@
     private val timer: TimerService,
     private val events: EventLog,
     private val listener: StreamListener,
+    private val random: Random = Random,
     private val settings: () -> FollowerSettings,
 ) : StreamFreshness {
     /** When the last read that reached the end of the stream was started, or null if there was none. */
@@ -96,17 +105,19 @@
 
     private val latestFreshAtMs = MutableStateFlow<Long?>(null)
 
-    override val freshAtMs: Long? get() = latestFreshAtMs.value
+    override val freshAtMs: Long? get() = latestFreshAtMs.value?.takeIf { it >= suspensions.uninterruptedSinceMs() }
+
+    private val suspensions = SuspensionDetector(timer::nowMs, timer::timeOfDayMs)
+
+    /** Whether a wait for a recent view has ended in vain since the view was last recent. */
+    private var hasWaitedInVain = false
 
     private var consecutiveFailures = 0
-    private val refreshRequests = Channel<LookReason>(Channel.CONFLATED)
+    private val refreshRequests = Channel<ReadReason>(Channel.CONFLATED)
     private var refreshedAtMs = Long.MIN_VALUE / 2
 
-    /** Why a follower reads without a wait while a long-polling read is under way. */
-    private enum class LookReason { RECHECK, AGE, OTHER_ROUTER, EVIDENCE }
-
     /** Reads at once. To be called if there is evidence that a record was missed. */
-    fun refresh() = requestLook(LookReason.EVIDENCE)
+    fun refresh() = requestRead(ReadReason.EVIDENCE)
 
     /**
      * Takes note that another router has passed on the records before [endOffset], and that these were all records at [confirmedAtMs], or
@@ -114,16 +125,17 @@
      */
     fun learnPosition(endOffset: Long, confirmedAtMs: Long?) {
         val next = nextOffset ?: return
-        if (endOffset > next) return requestLook(LookReason.OTHER_ROUTER)
+        if (endOffset > next) return requestRead(ReadReason.OTHER_ROUTER)
         if (confirmedAtMs != null) recordFresh(confirmedAtMs)
     }
 
-    override fun isFresh(maxAgeMs: Long): Boolean = isRecent(freshAtMs, maxAgeMs)
+    override fun isFresh(maxAgeMs: Long): Boolean = freshAtMs?.let { timer.nowMs() - it <= maxAgeMs } ?: false
 
     override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
-        if (isFresh(maxAgeMs) || consecutiveFailures > 0) return
+        if (nextOffset == null || isFresh(maxAgeMs) || consecutiveFailures > 0 || hasWaitedInVain) return
         refresh()
-        withTimeoutOrNull(timeoutMs) { latestFreshAtMs.first { isRecent(it, maxAgeMs) } }
+        withTimeoutOrNull(timeoutMs) { latestFreshAtMs.first { isFresh(maxAgeMs) } }
+        hasWaitedInVain = !isFresh(maxAgeMs)
     }
 
     /** Follows the stream until cancelled. */
@@ -160,12 +172,14 @@
         var isCaughtUp = false
         while (true) {
             val next = checkNotNull(nextOffset) { "expected a snapshot before the records that follow it" }
-            val waitMs = if (isCaughtUp) settings().waitMs else minOf(settings().waitMs, settings().catchUpWaitMs)
+            val waitMs = if (isCaughtUp) drawWaitMs() else minOf(settings().waitMs, settings().catchUpWaitMs)
             val (result, startedAtMs) = readNext(next, waitMs)
             when (result) {
                 is StreamReadResult.Read -> {
                     onRead(result, next, startedAtMs)
                     isCaughtUp = result.records.isEmpty()
+                    val showsNoRecords = isCaughtUp && result.endOffset > next
+                    if (showsNoRecords) timer.sleep(settings().minRefreshIntervalMs)
                     if (!isCaughtUp) timer.sleep(settings().batchDelayMs)
                 }
                 StreamReadResult.Expired -> {
@@ -189,25 +203,16 @@
         if (next >= result.endOffset) recordConfirmed(startedAtMs)
     }
 
-    private class TimedRead(
-        val result: StreamReadResult,
-        val startedAtMs: Long,
-    ) {
-        operator fun component1() = result
-
-        operator fun component2() = startedAtMs
-    }
-
-    /** Waits up to [waitMs] for the records from [from] on, and looks for them without a wait where there is a reason to. */
+    /** Waits up to [waitMs] for the records from [from] on, and reads them without a wait where there is a reason to. */
     private suspend fun readNext(from: Long, waitMs: Long): TimedRead = coroutineScope {
         val wait = async { read(from, waitMs) }
-        val look = async { lookForMissed(from, waitMs) }
+        val extra = async { readMissed(from, waitMs) }
         select {
             wait.onAwait { it }
-            look.onAwait { it }
+            extra.onAwait { it }
         }.also {
             wait.cancel()
-            look.cancel()
+            extra.cancel()
         }
     }
 
@@ -217,12 +222,14 @@
     }
 
     /** Returns what the wait of [waitMs] from [from] on that has just begun has missed. Does not return while it has missed nothing. */
-    private suspend fun lookForMissed(from: Long, waitMs: Long): TimedRead {
+    private suspend fun readMissed(from: Long, waitMs: Long): TimedRead {
         val waitStartedAtMs = timer.nowMs()
+        var maxAgeMs = drawMaxAgeMs()
         var recheckAtMs = settings().recheckAfterMs?.takeIf { it < waitMs }?.let { waitStartedAtMs + it }
         while (true) {
-            val reason = awaitReasonToLook(waitStartedAtMs, recheckAtMs)
-            if (reason == LookReason.RECHECK) recheckAtMs = null
+            val reason = awaitReasonToRead(waitStartedAtMs, recheckAtMs, maxAgeMs)
+            if (reason == ReadReason.AGE) maxAgeMs = drawMaxAgeMs()
+            if (reason == ReadReason.RECHECK) recheckAtMs = null
             val read = read(from, waitMs = 0)
             val result = read.result
             if (result !is StreamReadResult.Read) return read
@@ -235,35 +242,38 @@
         }
     }
 
-    private suspend fun awaitReasonToLook(waitStartedAtMs: Long, recheckAtMs: Long?): LookReason {
+    private fun drawWaitMs(): Long = settings().let { maxOf(it.catchUpWaitMs, it.waitMs - random.nextLong(it.waitSpreadMs + 1)) }
+
+    private fun drawMaxAgeMs(): Long? = settings().maxAgeMs?.let { it - random.nextLong(it / AGE_SPREAD_DIVISOR + 1) }
+
+    private suspend fun awaitReasonToRead(waitStartedAtMs: Long, recheckAtMs: Long?, maxAgeMs: Long?): ReadReason {
         while (true) {
             val nowMs = timer.nowMs()
-            val tooOldAtMs = settings().maxAgeMs?.let { (freshAtMs ?: waitStartedAtMs) + it }
-            if (recheckAtMs != null && recheckAtMs <= nowMs) return LookReason.RECHECK
-            if (tooOldAtMs != null && tooOldAtMs <= nowMs) return LookReason.AGE
+            val tooOldAtMs = maxAgeMs?.let { (freshAtMs ?: waitStartedAtMs) + it }
+            if (recheckAtMs != null && recheckAtMs <= nowMs) return ReadReason.RECHECK
+            if (tooOldAtMs != null && tooOldAtMs <= nowMs) return ReadReason.AGE
             val dueAtMs = listOfNotNull(recheckAtMs, tooOldAtMs).minOrNull() ?: return refreshRequests.receive()
             withTimeoutOrNull(dueAtMs - nowMs) { refreshRequests.receive() }?.let { return it }
         }
     }
 
-    private fun requestLook(reason: LookReason) {
+    private fun requestRead(reason: ReadReason) {
         if (timer.nowMs() - refreshedAtMs < settings().minRefreshIntervalMs) return
         refreshedAtMs = timer.nowMs()
         refreshRequests.trySend(reason)
     }
 
-    private fun isRecent(atMs: Long?, maxAgeMs: Long): Boolean = atMs != null && timer.nowMs() - atMs <= maxAgeMs
-
     private fun recordConfirmed(startedAtMs: Long) {
         confirmedAtMs = maxOf(confirmedAtMs ?: startedAtMs, startedAtMs)
         recordFresh(startedAtMs)
     }
 
     private fun recordFresh(atMs: Long) {
-        latestFreshAtMs.value = maxOf(freshAtMs ?: atMs, atMs)
+        hasWaitedInVain = false
+        latestFreshAtMs.value = maxOf(latestFreshAtMs.value ?: atMs, atMs)
     }
 
-    private fun logMissed(reason: LookReason, waitStartedAtMs: Long) = events.log(Events.STREAM_WAIT_MISSED) {
+    private fun logMissed(reason: ReadReason, waitStartedAtMs: Long) = events.log(Events.STREAM_WAIT_MISSED) {
         put("stream", stream.name)
         put("found_by", reason.name.lowercase())
         put("waited_ms", timer.nowMs() - waitStartedAtMs)
@@ -288,10 +298,21 @@
         }
         val doublings = (consecutiveFailures - 1).coerceAtMost(MAX_DOUBLINGS)
         val backoffMs = (settings().initialBackoffMs shl doublings).coerceAtMost(settings().maxBackoffMs)
-        timer.sleep(backoffMs + Random.nextLong(backoffMs / 2 + 1))
+        timer.sleep(backoffMs + random.nextLong(backoffMs / 2 + 1))
     }
 
+    /** Why a follower reads without a wait while a long-polling read is under way. */
+    private enum class ReadReason { RECHECK, AGE, OTHER_ROUTER, EVIDENCE }
+
+    private data class TimedRead(
+        val result: StreamReadResult,
+        val startedAtMs: Long,
+    )
+
     private companion object {
         const val MAX_DOUBLINGS = 8
+
+        /** Part of the longest age by which it varies: routers that know of the same read must not read at the same time. */
+        const val AGE_SPREAD_DIVISOR = 3
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
@@ -2,12 +2,18 @@
 
 /** Tells how recent this router's view of a stream is. */
 internal interface StreamFreshness {
-    /** The latest time at which all records that had been appended are known to have been passed on, or null if there is none. */
+    /**
+     * The latest time at which all records that had been appended are known to have been passed on, or null if there is none. It is also
+     * null if the machine was suspended since, because the time that has passed is not known then.
+     */
     val freshAtMs: Long?
 
     /** Returns whether the view was complete at some time in the last [maxAgeMs]. */
     fun isFresh(maxAgeMs: Long): Boolean
 
-    /** Waits up to [timeoutMs] until [isFresh], but not while the store cannot be reached. */
+    /**
+     * Waits up to [timeoutMs] until [isFresh], but not before the first snapshot, while the store cannot be reached, or if such a wait has been in vain since the view
+     * was last recent.
+     */
     suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long)
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/SuspendableProcess.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/SuspendableProcess.kt
@@ -30,8 +30,7 @@
     /** Event loop of the process. */
     val dispatcher: CoroutineDispatcher = SuspendableDispatcher(StandardTestDispatcher(scheduler))
 
-    /** Returns the time of day, which also advances during a suspension. */
-    fun timeOfDayMs(): Long = scheduler.currentTime
+    override fun timeOfDayMs(): Long = scheduler.currentTime
 
     override fun nowMs(): Long = scheduler.currentTime - clockOffsetMs
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/NewsSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/NewsSimulation.kt
@@ -84,13 +84,23 @@
         }
         private val waits = FollowerWaits(timer, direct, KeyOwnershipSettings()) { planner == relay }
         private val follower =
-            StreamFollower(access, KeyedStream.OPERATORS, timer, log, listener) { waits.ofPromptStream(BATCH_DELAY_MS) }
+            StreamFollower(access, KeyedStream.OPERATORS, timer, log, listener, random) { waits.ofPromptStream(BATCH_DELAY_MS) }
         private val positions = StreamPositions(listOf(follower), timer)
         private val clusterState = ClusterState(timer, log)
         private val directory = TargetDirectory(FakeRecords, OperatorState(FakeRecords, timer, log), timer, log) { null }
         private val keyLoads = KeyLoadTracker(timer)
         private val reporter =
-            RouterReporter("$relay", keyLoads, directory, positions, { planner.takeIf { it != relay } }, { others() }, client, timer)
+            RouterReporter(
+                "$relay",
+                keyLoads,
+                directory,
+                positions,
+                { planner.takeIf { it != relay } },
+                { others() },
+                client,
+                timer,
+                random,
+            )
         private val authority =
             PlannerAuthority("$relay", "life", clusterState, timer, timer::nowMs, KeyOwnershipSettings(), log) { null }
 
