Leave the first election to large hosts until the group has settled

Callers saw requests sent to targets that had said they leave, and changes in force late, where the planner was a router on a small host (DRAIN, CONFIG): it cannot carry the records of all routers and the calls to all targets.

Cause: small hosts stood 1.5 s after large ones. The group deals its work anew with each router that joins, and the candidate of the first election must stay one for 0.5 s, so large hosts that start at different times need longer than that, and the small hosts that then join take the work over. After the first claim, small hosts went on to join, because the silence of the planner counted from their own start.

Evidence: FirstPlannerTest has 5 large hosts, which join 0.3 s apart, and 12 small ones; before this change 'small11' becomes the first planner, now 'large4' does. PlannerCandidacyTest, 'not on a small host right after the first planner has claimed the role', failed as well.

Small hosts now leave the first election to large ones for 5 s after the capacities are known, and stand after that, so a site without a live large host has a planner within 12 s of its start (FirstPlannerTest). The silence of a planner counts at the earliest from when its record was read.

PlannerCandidacyTest, 'at the first start only on a large host', took the delay at a failover for that of the first election. It now checks both sides of the delay of the first election.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -70,6 +70,10 @@
     var planner: PlannerTerm? = null
         private set
 
+    /** When this router read the latest planner record, or null before the first one. */
+    var plannerReadAtMs: Long? = null
+        private set
+
     /** The offset up to which the stream has been read, or null before the first snapshot. */
     val endOffset: Long? get() = readOffset.value
 
@@ -162,6 +166,7 @@
     private fun applyPlanner(newer: PlannerTerm) {
         if (planner == newer) return
         planner = newer
+        plannerReadAtMs = timer.nowMs()
         events.log(Events.PLANNER_SEEN) {
             put("planner", newer.node)
             put("term", newer.term)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -18,6 +18,8 @@
  * @property candidateStabilityMs how long a router must have been the candidate before it becomes the first planner.
  * @property capacitiesKnownMs how long the routers wait for each other's membership records at the first start of the system.
  * @property smallHostDelayMs how long routers on small hosts leave it to those on larger ones to replace a planner that does not answer.
+ * @property largeHostsSettleMs how long routers on small hosts leave the first election to those on larger ones, which start at different
+ * times and each make the group deal its work anew when they join.
  * @property planIntervalMs the longest time between two planning rounds.
  * @property minBalanceIntervalMs the shortest time between two moves that balance load.
  * @property confirmationBatchDelayMs delay after a target has confirmed a grant, so that one append can cover several confirmations.
@@ -40,6 +42,7 @@
     val candidateStabilityMs: Long = 500,
     val capacitiesKnownMs: Long = 3_500,
     val smallHostDelayMs: Long = 1_500,
+    val largeHostsSettleMs: Long = 5_000,
     val planIntervalMs: Long = 200,
     val minBalanceIntervalMs: Long = 700,
     val confirmationBatchDelayMs: Long = 20,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
@@ -20,13 +20,23 @@
     private val startedAtMs = timer.nowMs()
 
     /** Returns whether this router should be a member of the group from which the planner is chosen. */
-    fun stands(): Boolean {
-        val nowMs = timer.nowMs()
-        // In the first moments of the system, the capacities of the other hosts are not known yet, and no planner can answer.
-        val firstElectionAtMs = if (clusterState.planner == null) startedAtMs + settings.capacitiesKnownMs else startedAtMs
-        if (nowMs < firstElectionAtMs) return false
-        val silentSinceMs = maxOf(plannerSilentSinceMs() ?: nowMs, firstElectionAtMs)
-        return isLargeHost() || nowMs - silentSinceMs >= settings.smallHostDelayMs
+    fun stands(): Boolean = if (clusterState.planner == null) standsFirst() else isLargeHost() || isPlannerSilent()
+
+    /**
+     * Whether this router stands for the first planner of the system. In the first moments, the capacities of the other hosts are not
+     * known yet. Each router that joins then makes the group deal its work anew, so small hosts join after the large ones have settled.
+     */
+    private fun standsFirst(): Boolean {
+        val elapsedMs = timer.nowMs() - startedAtMs
+        val largeHostsMs = if (isLargeHost()) 0 else settings.largeHostsSettleMs
+        return elapsedMs >= settings.capacitiesKnownMs + largeHostsMs
+    }
+
+    /** Whether the recorded planner has had time to answer and has not. No planner answers before its record has been read. */
+    private fun isPlannerSilent(): Boolean {
+        val silentSinceMs = plannerSilentSinceMs() ?: return false
+        val countsSinceMs = maxOf(silentSinceMs, clusterState.plannerReadAtMs ?: silentSinceMs)
+        return timer.nowMs() - countsSinceMs >= settings.smallHostDelayMs
     }
 
     /** The planner talks to all targets and routers, so its host needs a wide link as well as a fast processor. */
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
@@ -102,8 +102,24 @@
         val large = candidacy(1.5)
         advance(settings.capacitiesKnownMs)
         expectThat(large.stands()).isTrue()
+        advance(settings.largeHostsSettleMs - 1)
         expectThat(small.stands()).isFalse()
-        advance(settings.smallHostDelayMs)
+        advance(1)
+        expectThat(small.stands()).isTrue()
+    }
+
+    /** Guards against small hosts that join the group, which deals its work anew, because the first planner has not answered them yet. */
+    @Test
+    fun `not on a small host right after the first planner has claimed the role`() {
+        addMember("large", 1.5)
+        silentSinceMs = timer.nowMs()
+        val small = candidacy(0.225)
+        advance(settings.capacitiesKnownMs + settings.smallHostDelayMs - 1)
+        addPlanner()
+        expectThat(small.stands()).isFalse()
+        advance(settings.smallHostDelayMs - 1)
+        expectThat(small.stands()).isFalse()
+        advance(1)
         expectThat(small.stands()).isTrue()
     }
 
