Do not count a view as recent while another router is known to have read further

A router that is told of a later end of a stream knows that it lacks a record, and went on to route by the table without it until its read had returned (CONFIG, DRAIN). Requests now wait for that read, at most 200 ms, and no 404 is given meanwhile; a read of its own that finds no such records ends that, because the other router may have been wrong.

Evidence: StreamFreshnessTest, 'does not count as recent while it lacks records that another router has read'; without the change the view counts as recent there.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -366,8 +366,9 @@
         const val METRICS_PATH = "/metrics"
         const val PIPELINE_DEPTH = 16
 
-        // Delays after records have arrived, so that one read returns several.
-        const val OPERATORS_BATCH_DELAY_MS = 50L
+        // Delays after records have arrived, so that one read returns several. Operators publish rarely, and a late event loop would make
+        // the delay longer.
+        const val OPERATORS_BATCH_DELAY_MS = 0L
         const val TARGETS_BATCH_DELAY_MS = 200L
 
         const val ANNOUNCE_RETRY_MS = 500L
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -103,12 +103,18 @@
     var nextOffset: Long? = null
         private set
 
-    private val latestFreshAtMs = MutableStateFlow<Long?>(null)
+    private var latestFreshAtMs: Long? = null
 
-    override val freshAtMs: Long? get() = latestFreshAtMs.value?.takeIf { it >= suspensions.uninterruptedSinceMs() }
+    /** Counts the changes of what [isFresh] relies on. */
+    private val freshnessChanges = MutableStateFlow(0L)
+
+    override val freshAtMs: Long? get() = latestFreshAtMs?.takeIf { it >= suspensions.uninterruptedSinceMs() }
 
     private val suspensions = SuspensionDetector(timer::nowMs, timer::timeOfDayMs)
 
+    /** What another router has told of records that this follower lacks, or null if it is not known to lack any. */
+    private var lack: Lack? = null
+
     /** Whether a wait for a recent view has ended in vain since the view was last recent. */
     private var hasWaitedInVain = false
 
@@ -125,16 +131,22 @@
      */
     fun learnPosition(endOffset: Long, confirmedAtMs: Long?) {
         val next = nextOffset ?: return
-        if (endOffset > next) return requestRead(ReadReason.OTHER_ROUTER)
+        if (endOffset > next) {
+            lack = Lack(endOffset, timer.nowMs())
+            return requestRead(ReadReason.OTHER_ROUTER)
+        }
         if (confirmedAtMs != null) recordFresh(confirmedAtMs)
     }
 
-    override fun isFresh(maxAgeMs: Long): Boolean = freshAtMs?.let { timer.nowMs() - it <= maxAgeMs } ?: false
+    override fun isFresh(maxAgeMs: Long): Boolean {
+        val freshAtMs = freshAtMs ?: return false
+        return lack == null && timer.nowMs() - freshAtMs <= maxAgeMs
+    }
 
     override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
         if (nextOffset == null || isFresh(maxAgeMs) || consecutiveFailures > 0 || hasWaitedInVain) return
         refresh()
-        withTimeoutOrNull(timeoutMs) { latestFreshAtMs.first { isFresh(maxAgeMs) } }
+        withTimeoutOrNull(timeoutMs) { freshnessChanges.first { isFresh(maxAgeMs) } }
         hasWaitedInVain = !isFresh(maxAgeMs)
     }
 
@@ -199,6 +211,7 @@
         val next = result.records.lastOrNull()?.let { it.offset + 1 } ?: from
         listener.onRecords(result.records, next, freshAtMs)
         nextOffset = next
+        lack = lack?.takeIf { it.endOffset > next }
         onAnswered()
         if (next >= result.endOffset) recordConfirmed(startedAtMs)
     }
@@ -265,12 +278,15 @@
 
     private fun recordConfirmed(startedAtMs: Long) {
         confirmedAtMs = maxOf(confirmedAtMs ?: startedAtMs, startedAtMs)
+        // The router that has told of the records may have been wrong.
+        lack = lack?.takeIf { it.toldAtMs > startedAtMs }
         recordFresh(startedAtMs)
     }
 
     private fun recordFresh(atMs: Long) {
         hasWaitedInVain = false
-        latestFreshAtMs.value = maxOf(latestFreshAtMs.value ?: atMs, atMs)
+        latestFreshAtMs = maxOf(latestFreshAtMs ?: atMs, atMs)
+        freshnessChanges.value++
     }
 
     private fun logMissed(reason: ReadReason, waitStartedAtMs: Long) = events.log(Events.STREAM_WAIT_MISSED) {
@@ -304,6 +320,11 @@
     /** Why a follower reads without a wait while a long-polling read is under way. */
     private enum class ReadReason { RECHECK, AGE, OTHER_ROUTER, EVIDENCE }
 
+    private class Lack(
+        val endOffset: Long,
+        val toldAtMs: Long,
+    )
+
     private data class TimedRead(
         val result: StreamReadResult,
         val startedAtMs: Long,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
@@ -8,7 +8,7 @@
      */
     val freshAtMs: Long?
 
-    /** Returns whether the view was complete at some time in the last [maxAgeMs]. */
+    /** Returns whether the view was complete at some time in the last [maxAgeMs] and no later record is known to exist. */
     fun isFresh(maxAgeMs: Long): Boolean
 
     /**
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
@@ -85,6 +85,30 @@
             expectThat(fixture.receivedAtMs.keys.toList()).containsExactly(0L)
         }
 
+        /** Guards against a request that is routed by a table which this router knows to be out of date (CONFIG). */
+        @Test
+        fun `does not count as recent while it lacks records that another router has read`() = runTest {
+            val fixture = Fixture(this)
+            fixture.settle()
+            expectThat(fixture.follower.isFresh(1_000)).isTrue()
+            fixture.store.append("a")
+            fixture.follower.learnPosition(endOffset = 1, confirmedAtMs = fixture.timer.nowMs())
+            expectThat(fixture.follower.isFresh(1_000)).isFalse()
+            fixture.follower.awaitFresh(maxAgeMs = 1_000, timeoutMs = 200)
+            expectThat(fixture.receivedAtMs.keys.toList()).containsExactly(0L)
+            expectThat(fixture.follower.isFresh(1_000)).isTrue()
+        }
+
+        /** Guards against a router that takes its view for out of date for good, because another one named an offset that does not exist. */
+        @Test
+        fun `counts as recent again after a read of its own has found no such records`() = runTest {
+            val fixture = Fixture(this)
+            fixture.settle()
+            fixture.follower.learnPosition(endOffset = Long.MAX_VALUE, confirmedAtMs = null)
+            fixture.advance(A_READ_MS)
+            expectThat(fixture.follower.isFresh(1_000)).isTrue()
+        }
+
         /** Guards against calls to the store that grow with the number of routers. */
         @Test
         fun `makes no calls while another router confirms that there are no news`() = runTest {
