Read the diff as a newcomer: usual terms, contracts of ages and constants, suspension check in the base module

One fault that the reading found: an old confirmation of another router ended the rule that requests do not wait in vain one after the other, so with a store that is slow for the planner too each request waited 200 ms. The age that was asked for in vain is kept until the view has been that recent ('lets one request wait in vain also if other routers confirm an old view'). While the store is slow, waits are not spread below their length. Else only names, comments and places: 'news' and 'lack' give way to records and reported ends, the test classes are named after missed records, SuspensionDetector is in yuccaflow-base.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/SuspensionDetector.kt
+++ b/yuccaflow-base/src/main/kotlin/yuccaflow/base/SuspensionDetector.kt
@@ -1,25 +1,28 @@
-package yuccaflow.entry.store
+package yuccaflow.base
 
 import kotlin.math.abs
 
 /**
- * Notices that the machine was suspended. The monotonic clock may stop then, but the time of day does not. A jump of one relative to the
+ * Detects that the machine was suspended. The monotonic clock may stop then, but the time of day does not. A jump of one relative to the
  * other counts as a suspension, because the two cannot be told apart.
  */
-internal class SuspensionDetector(
+class SuspensionDetector(
     private val nowMs: () -> Long,
     private val timeOfDayMs: () -> Long,
 ) {
     private var offsetMs = timeOfDayMs() - nowMs()
-    private var noticedAtMs = Long.MIN_VALUE
+    private var detectedAtMs = Long.MIN_VALUE
 
-    /** Returns the monotonic time from which on that clock is known to have counted all time. What was measured before is void. */
+    /**
+     * Returns the monotonic time of the latest check that detected a suspension, or [Long.MIN_VALUE] if none has. Durations measured from
+     * before it are void.
+     */
     fun uninterruptedSinceMs(): Long {
         val now = nowMs()
         val currentOffsetMs = timeOfDayMs() - now
-        if (abs(currentOffsetMs - offsetMs) > MAX_CLOCK_ADJUSTMENT_MS) noticedAtMs = now
+        if (abs(currentOffsetMs - offsetMs) > MAX_CLOCK_ADJUSTMENT_MS) detectedAtMs = now
         offsetMs = currentOffsetMs
-        return noticedAtMs
+        return detectedAtMs
     }
 
     private companion object {
--- a/yuccaflow-base/src/main/kotlin/yuccaflow/base/TimerService.kt
+++ b/yuccaflow-base/src/main/kotlin/yuccaflow/base/TimerService.kt
@@ -7,7 +7,10 @@
     /** Returns the monotonic time in milliseconds. It advances while the process is paused. */
     fun nowMs(): Long
 
-    /** Returns the time of day in milliseconds. It also advances while the machine is suspended, in which [nowMs] may stop, and it may jump. */
+    /**
+     * Returns the time of day in milliseconds. It may jump, and it advances while the machine is suspended, when [nowMs] may stop. The
+     * default is for timers whose [nowMs] never stops.
+     */
     fun timeOfDayMs(): Long = nowMs()
 
     /** Returns a flow that emits the monotonic time every [periodMs]. Ticks that fall due while the collector is busy are skipped. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/FollowerWaits.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/FollowerWaits.kt
@@ -38,10 +38,10 @@
 
     /** A record that a read has missed while the store is slow is seen when its wait ends. */
     private fun shortenIfSlow(settings: FollowerSettings): FollowerSettings =
-        if (storeAccess.isSlow) settings.copy(waitMs = SLOW_STORE_WAIT_MS) else settings
+        if (storeAccess.isSlow) settings.copy(waitMs = SLOW_STORE_WAIT_MS, waitSpreadMs = 0) else settings
 
     private companion object {
-        /** Leaves time for a report and its answer until the earliest age at which the other routers read the store themselves. */
+        /** With the period of the reports and an answer below the earliest age at which the other routers read the store themselves. */
         const val PLANNER_MAX_AGE_MS = 500L
 
         /** Longest wait of a read while the store is slow. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -137,7 +137,7 @@
     private val clusterStateFollower: StreamFollower =
         StreamFollower(clusterStateStore, KeyedStream.ROUTERS, timer, events, clusterState, settings = waits::ofClusterState)
     private val authority: PlannerAuthority =
-        PlannerAuthority(settings.node, incarnationId, clusterState, timer, System::currentTimeMillis, keyOwnershipSettings, events) {
+        PlannerAuthority(settings.node, incarnationId, clusterState, timer, timer::timeOfDayMs, keyOwnershipSettings, events) {
             clusterStateFollower.confirmedAtMs
         }
     private val candidacy = PlannerCandidacy(settings.capacity, clusterState, timer, keyOwnershipSettings) {
@@ -200,7 +200,7 @@
             streamTask("operators") { operatorsFollower.run() },
             streamTask("targets") { targetsFollower.run() },
             streamTask("records") { clusterStateFollower.run() },
-            streamTask("store") { directStoreAccess.recheckWhileUnavailable() },
+            streamTask("store") { directStoreAccess.checkAvailability() },
             SupervisedTask("event-loop") { eventLoopMonitor.run() },
             SupervisedTask("member") {
                 announceMember()
@@ -286,7 +286,7 @@
             },
             recordKey = keyLoadTracker::recordRequest,
             meters = meters,
-            readDelayMs = eventLoopMonitor::possibleWaitMs,
+            readDelayMs = eventLoopMonitor::readDelayMs,
             drainEndsAtMs = { drainEndsAtMs },
         )
         return RequestRouter(dependencies, settings.headers, timer, events)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadTracker.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadTracker.kt
@@ -30,7 +30,7 @@
         if (keys.size < MAX_UNREPORTED) keys += key
     }
 
-    /** Adds the keys, by service, that router [node] has sampled. */
+    /** Adds the keys, by service, that router [node] has sampled. A report without keys does not make it count as a reporting router. */
     fun addReport(node: String, samples: Map<String, List<Int>>) {
         if (samples.isEmpty()) return
         reportedAtMs[node] = timer.nowMs()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -19,7 +19,7 @@
  * @property capacitiesKnownMs how long the routers wait for each other's membership records at the first start of the system.
  * @property smallHostDelayMs how long routers on small hosts leave it to those on larger ones to replace a planner that does not answer.
  * @property largeHostsSettleMs how long routers on small hosts leave the first election to those on larger ones, which start at different
- * times and each make the group deal its work anew when they join.
+ * times and each cause a rebalance of the group when they join.
  * @property planIntervalMs the longest time between two planning rounds.
  * @property minBalanceIntervalMs the shortest time between two moves that balance load.
  * @property confirmationBatchDelayMs delay after a target has confirmed a grant, so that one append can cover several confirmations.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
@@ -1,7 +1,7 @@
 package yuccaflow.entry.keys
 
+import yuccaflow.base.SuspensionDetector
 import yuccaflow.base.TimerService
-import yuccaflow.entry.store.SuspensionDetector
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
@@ -20,16 +20,16 @@
     private val startedAtMs = timer.nowMs()
 
     /** Returns whether this router should be a member of the group from which the planner is chosen. */
-    fun stands(): Boolean = if (clusterState.planner == null) standsFirst() else isLargeHost() || isPlannerSilent()
+    fun stands(): Boolean = if (clusterState.planner == null) standsInFirstElection() else isLargeHost() || isPlannerSilent()
 
     /**
      * Whether this router stands for the first planner of the system. In the first moments, the capacities of the other hosts are not
-     * known yet. Each router that joins then makes the group deal its work anew, so small hosts join after the large ones have settled.
+     * known yet. Each router that joins causes a rebalance of the group, so small hosts join after the large ones.
      */
-    private fun standsFirst(): Boolean {
+    private fun standsInFirstElection(): Boolean {
         val elapsedMs = timer.nowMs() - startedAtMs
-        val largeHostsMs = if (isLargeHost()) 0 else settings.largeHostsSettleMs
-        return elapsedMs >= settings.capacitiesKnownMs + largeHostsMs
+        val extraDelayMs = if (isLargeHost()) 0 else settings.largeHostsSettleMs
+        return elapsedMs >= settings.capacitiesKnownMs + extraDelayMs
     }
 
     /** Whether the recorded planner has had time to answer and has not. No planner answers before its record has been read. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -85,7 +85,7 @@
 
     override suspend fun leave(member: String) = group.leave(member)
 
-    /** Requests a call that shows whether the store is available. To be called if one was given up because it took long. */
+    /** Requests a call that shows whether the store is available. To be called after a call was cancelled because it took long. */
     fun requestCheck() {
         isCheckRequested = true
     }
@@ -94,7 +94,7 @@
      * Calls the store from time to time while it is unavailable, and when a check was requested, until cancelled. Long-polling reads are
      * not made directly in that state, so a router that makes no other calls would not notice that the store is back.
      */
-    suspend fun recheckWhileUnavailable() {
+    suspend fun checkAvailability() {
         while (true) {
             timer.sleep(RECHECK_INTERVAL_MS)
             if (isAvailable && !isCheckRequested) continue
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
@@ -21,8 +21,8 @@
  * Settings of store calls that are relayed through other routers.
  *
  * @property directRetryMs time after a failed direct call until the next direct attempt.
- * @property routersPerCall number of other routers that are tried for one call, one after the other.
- * @property routersPerRead number of other routers that are tried for one read of following records, side by side.
+ * @property routersPerCall number of other routers that are tried for one call, in sequence.
+ * @property routersPerRead number of other routers that are tried for one read of following records, partly in parallel.
  * @property hedgeDelayMs time without an answer, in addition to the wait of a read, after which another router is asked as well.
  * @property maxWaitMs longest wait for records in a relayed read.
  * @property callTimeoutMs time for one call in addition to its wait.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/HedgedRelay.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/HedgedRelay.kt
@@ -36,7 +36,7 @@
     suspend fun send(call: RelayCall.Read, waitMs: Long): PeerAnswer? = coroutineScope {
         val remaining = peers().shuffled().take(settings.routersPerRead).iterator()
         val pending = ArrayList<Deferred<PeerAnswer>>()
-        repeat(SIDE_BY_SIDE) { askNext(remaining, pending, call, waitMs) }
+        repeat(INITIAL_CALLS) { askNext(remaining, pending, call, waitMs) }
         while (pending.isNotEmpty()) {
             val answered = awaitAny(pending, waitMs + settings.hedgeDelayMs)
             val peerAnswer = answered?.await()
@@ -73,6 +73,7 @@
     private fun RelayAnswer.isUsable(): Boolean = this is RelayAnswer.Records || this == RelayAnswer.Expired
 
     private companion object {
-        const val SIDE_BY_SIDE = 2
+        /** Routers that are called at once, so that a single one that does not answer delays no read. */
+        const val INITIAL_CALLS = 2
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -77,8 +77,8 @@
 
     /**
      * Reports the keys for which router [node] has received requests, by service, the targets that have told it in an answer that they
-     * leave, and how far it has read the streams. The receiver processes it itself and answers with its own positions. The name is that of the
-     * report's first content, which routers of earlier versions know.
+     * leave, and how far it has read the streams. The receiver processes it itself and answers with
+     * [RelayAnswer.Positions]. The name is kept for compatibility with earlier versions.
      */
     @Serializable
     class KeySamples(
@@ -163,7 +163,8 @@
  * How far a router has read a stream.
  *
  * @property endOffset the offset of the next record.
- * @property ageMs how long ago the records before [endOffset] were last known to be all, or null if that is not known.
+ * @property ageMs how long ago the records before [endOffset] were last known to be all, or null if that is not known. Used only in
+ * answers, because the time of a call's positions is unknown.
  */
 @Serializable
 internal class RelayedPosition(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
@@ -60,6 +60,7 @@
     }
 
     private companion object {
+        /** With the age limit of the planner below the age at which routers read the store themselves. */
         const val REPORT_PERIOD_MS = 400L
         const val CALL_TIMEOUT_MS = 500L
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -57,7 +57,7 @@
     /**
      * One request of a caller with its routing decision and its attempts.
      *
-     * @property startedAtMs the earliest time at which the caller may have sent it.
+     * @property startedAtMs the earliest time at which it may have reached this host.
      */
     private class Exchange(
         val id: String,
@@ -82,7 +82,7 @@
 
     override suspend fun handle(request: HttpRequest): HttpResponse {
         val id = request.headers[names.requestId] ?: return errorResponses.invalid(null, "expected a header ${names.requestId}, found none")
-        // The caller's time began when it sent the request, which a late event loop reads long after.
+        // A late event loop reads a request long after it has arrived; that time counts against the caller's deadline.
         val startedAtMs = timer.nowMs() - dependencies.readDelayMs()
         return when (val lookup = dependencies.routeFinder.find(id, request.headers["Host"].orEmpty(), request.path)) {
             is RouteLookup.Found -> routeOn(lookup, request, id, startedAtMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
@@ -47,7 +47,7 @@
         awaitFresh()
         val table = operators.table ?: return RouteLookup.Unknown("no routing table is known yet")
         table.match(host, path)?.let { return RouteLookup.Found(table, it) }
-        if (tableFreshness.isFresh(MAX_AGE_MS)) return RouteLookup.NoRoute
+        if (tableFreshness.isFresh(MAX_VIEW_AGE_MS)) return RouteLookup.NoRoute
         events.log(Events.REQUEST_UNROUTED) {
             put("request", requestId)
             put("config_version", table.version)
@@ -57,18 +57,18 @@
     }
 
     private suspend fun awaitFresh() {
-        if (tableFreshness.isFresh(MAX_AGE_MS) && targetsFreshness.isFresh(MAX_AGE_MS)) return
+        if (tableFreshness.isFresh(MAX_VIEW_AGE_MS) && targetsFreshness.isFresh(MAX_VIEW_AGE_MS)) return
         withTimeoutOrNull(MAX_WAIT_MS) {
-            tableFreshness.awaitFresh(MAX_AGE_MS, MAX_WAIT_MS)
-            targetsFreshness.awaitFresh(MAX_AGE_MS, MAX_WAIT_MS)
+            tableFreshness.awaitFresh(MAX_VIEW_AGE_MS, MAX_WAIT_MS)
+            targetsFreshness.awaitFresh(MAX_VIEW_AGE_MS, MAX_WAIT_MS)
         }
     }
 
     private companion object {
-        /** A routing table, and the leaving of a target, must be in force two seconds after it was published. */
-        const val MAX_AGE_MS = 2_000L
+        /** Time in which a routing table, and the leaving of a target, must be in force. Followers read earlier, at their own age limit. */
+        const val MAX_VIEW_AGE_MS = 2_000L
 
-        /** Longer than a read of the store takes, and short compared with callers' time limits. */
+        /** Longer than a usual read of the store, and short compared with callers' time limits. Ends before a read is hedged. */
         const val MAX_WAIT_MS = 200L
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
+import yuccaflow.base.SuspensionDetector
 import yuccaflow.base.TimerService
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
@@ -30,7 +31,8 @@
  * Timing of a [StreamFollower].
  *
  * @property waitMs the longest wait for records in one long-polling read. Each call costs money, even if it returns no records.
- * @property waitSpreadMs time by which [waitMs] is shortened at most, at random: routers that start together must not call together later.
+ * @property waitSpreadMs time by which [waitMs] is shortened at most, at random: routers that start together must not call together
+ * later.
  * @property catchUpWaitMs the longest wait of the first read after a snapshot or after records. A read that arrives while an append is
  * being executed may miss the appended records until its wait ends, and appends often come in groups.
  * @property recheckAfterMs time after the start of a longer wait at which the stream is read again without a wait, because the wait misses
@@ -39,7 +41,8 @@
  * @property initialBackoffMs delay after the first failed call. It doubles with each further failure up to [maxBackoffMs], plus jitter.
  * @property maxAgeMs the longest time for which neither a read nor another router may have confirmed that no records are missing, before
  * the stream is read without a wait, less up to a third at random; null if that does not matter.
- * @property minRefreshIntervalMs the shortest time between two reads that are caused from outside of the follower.
+ * @property minRefreshIntervalMs the shortest time between two reads that [StreamFollower.refresh] or another router's position causes, and
+ * the pause after an answer without records that names a later end of the stream.
  */
 internal data class FollowerSettings(
     val waitMs: Long = 25_000,
@@ -78,9 +81,10 @@
 /**
  * Passes the records of one stream to a listener: first a snapshot, then the following records as long-polling reads return them.
  *
- * A long-polling read is no proof that there are no new records: the store may leave it waiting although a record was appended, and a silent
- * connection looks the same. So what this follower knows has an age, the time since all records were last known to be passed on. Own reads
- * and the confirmations of other routers ([learnPosition]) renew it, and a follower whose knowledge is too old reads without a wait.
+ * A long-polling read is no proof that there are no new records: the store may leave it waiting although a record was appended, and a
+ * silent connection looks the same. So what this follower knows has an age, the time since all records were last known to be passed on.
+ * Own reads and the confirmations of other routers ([learnPosition]) renew it, and a follower whose knowledge is too old reads without a
+ * wait.
  */
 internal class StreamFollower(
     private val store: KeyedStore,
@@ -103,6 +107,7 @@
     var nextOffset: Long? = null
         private set
 
+    private val suspensions = SuspensionDetector(timer::nowMs, timer::timeOfDayMs)
     private var latestFreshAtMs: Long? = null
 
     /** Counts the changes of what [isFresh] relies on. */
@@ -110,29 +115,30 @@
 
     override val freshAtMs: Long? get() = latestFreshAtMs?.takeIf { it >= suspensions.uninterruptedSinceMs() }
 
-    private val suspensions = SuspensionDetector(timer::nowMs, timer::timeOfDayMs)
-
-    /** What another router has told of records that this follower lacks, or null if it is not known to lack any. */
-    private var lack: Lack? = null
+    /** The end of the stream that another router has reported and this follower has not reached, or null. */
+    private var reportedEnd: ReportedEnd? = null
 
-    /** Whether a wait for a recent view has ended in vain since the view was last recent. */
-    private var hasWaitedInVain = false
+    /** The age that a wait for a recent view has asked for in vain, or null if the view has been that recent since. */
+    private var unmetMaxAgeMs: Long? = null
 
     private var consecutiveFailures = 0
     private val refreshRequests = Channel<ReadReason>(Channel.CONFLATED)
     private var refreshedAtMs = Long.MIN_VALUE / 2
 
-    /** Reads at once. To be called if there is evidence that a record was missed. */
+    /**
+     * Reads without a wait, at most once in [FollowerSettings.minRefreshIntervalMs]. To be called if there is evidence that a record was
+     * missed.
+     */
     fun refresh() = requestRead(ReadReason.EVIDENCE)
 
     /**
-     * Takes note that another router has passed on the records before [endOffset], and that these were all records at [confirmedAtMs], or
-     * at an unknown time if that is null. Reads at once if this follower has fewer records.
+     * Records that another router has passed on the records before [endOffset], and that these were all records at [confirmedAtMs], or at
+     * an unknown time if that is null. Requests a read as [refresh] does if this follower has fewer records.
      */
     fun learnPosition(endOffset: Long, confirmedAtMs: Long?) {
         val next = nextOffset ?: return
         if (endOffset > next) {
-            lack = Lack(endOffset, timer.nowMs())
+            reportedEnd = ReportedEnd(endOffset, timer.nowMs())
             return requestRead(ReadReason.OTHER_ROUTER)
         }
         if (confirmedAtMs != null) recordFresh(confirmedAtMs)
@@ -140,14 +146,14 @@
 
     override fun isFresh(maxAgeMs: Long): Boolean {
         val freshAtMs = freshAtMs ?: return false
-        return lack == null && timer.nowMs() - freshAtMs <= maxAgeMs
+        return reportedEnd == null && timer.nowMs() - freshAtMs <= maxAgeMs
     }
 
     override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
-        if (nextOffset == null || isFresh(maxAgeMs) || consecutiveFailures > 0 || hasWaitedInVain) return
+        if (nextOffset == null || isFresh(maxAgeMs) || consecutiveFailures > 0 || unmetMaxAgeMs != null) return
         refresh()
         withTimeoutOrNull(timeoutMs) { freshnessChanges.first { isFresh(maxAgeMs) } }
-        hasWaitedInVain = !isFresh(maxAgeMs)
+        unmetMaxAgeMs = maxAgeMs.takeUnless(::isFresh)
     }
 
     /** Follows the stream until cancelled. */
@@ -211,7 +217,7 @@
         val next = result.records.lastOrNull()?.let { it.offset + 1 } ?: from
         listener.onRecords(result.records, next, freshAtMs)
         nextOffset = next
-        lack = lack?.takeIf { it.endOffset > next }
+        reportedEnd = reportedEnd?.takeIf { it.offset > next }
         onAnswered()
         if (next >= result.endOffset) recordConfirmed(startedAtMs)
     }
@@ -219,13 +225,13 @@
     /** Waits up to [waitMs] for the records from [from] on, and reads them without a wait where there is a reason to. */
     private suspend fun readNext(from: Long, waitMs: Long): TimedRead = coroutineScope {
         val wait = async { read(from, waitMs) }
-        val extra = async { readMissed(from, waitMs) }
+        val missed = async { readMissed(from, waitMs) }
         select {
             wait.onAwait { it }
-            extra.onAwait { it }
+            missed.onAwait { it }
         }.also {
             wait.cancel()
-            extra.cancel()
+            missed.cancel()
         }
     }
 
@@ -278,14 +284,14 @@
 
     private fun recordConfirmed(startedAtMs: Long) {
         confirmedAtMs = maxOf(confirmedAtMs ?: startedAtMs, startedAtMs)
-        // The router that has told of the records may have been wrong.
-        lack = lack?.takeIf { it.toldAtMs > startedAtMs }
+        // A read that reached the end proves an earlier report of a later end wrong.
+        reportedEnd = reportedEnd?.takeIf { it.reportedAtMs > startedAtMs }
         recordFresh(startedAtMs)
     }
 
     private fun recordFresh(atMs: Long) {
-        hasWaitedInVain = false
         latestFreshAtMs = maxOf(latestFreshAtMs ?: atMs, atMs)
+        unmetMaxAgeMs = unmetMaxAgeMs?.takeUnless(::isFresh)
         freshnessChanges.value++
     }
 
@@ -320,9 +326,9 @@
     /** Why a follower reads without a wait while a long-polling read is under way. */
     private enum class ReadReason { RECHECK, AGE, OTHER_ROUTER, EVIDENCE }
 
-    private class Lack(
-        val endOffset: Long,
-        val toldAtMs: Long,
+    private class ReportedEnd(
+        val offset: Long,
+        val reportedAtMs: Long,
     )
 
     private data class TimedRead(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
@@ -12,8 +12,8 @@
     fun isFresh(maxAgeMs: Long): Boolean
 
     /**
-     * Waits up to [timeoutMs] until [isFresh], but not before the first snapshot, while the store cannot be reached, or if such a wait has been in vain since the view
-     * was last recent.
+     * Waits up to [timeoutMs] until [isFresh]. Returns at once before the first snapshot, while the store cannot be reached, and if such a
+     * wait has timed out since the view was last recent.
      */
     suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long)
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLoopMonitor.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLoopMonitor.kt
@@ -15,8 +15,8 @@
 
     private var dueAtMs = Long.MAX_VALUE
 
-    /** For how long something that is read now may have waited: the delay of the latest measurement, or of the one that is overdue. */
-    val possibleWaitMs: Long get() = maxOf(delayMs, timer.nowMs() - dueAtMs)
+    /** For how long input that is read now may have waited: the delay of the latest measurement, or of the one that is overdue. */
+    val readDelayMs: Long get() = maxOf(delayMs, timer.nowMs() - dueAtMs)
 
     /** Measures until cancelled, and logs long delays. */
     suspend fun run() {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeFreshness.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeFreshness.kt
@@ -3,7 +3,7 @@
 import yuccaflow.base.TimerService
 import yuccaflow.entry.store.StreamFreshness
 
-/** A view that is as recent as the test says: always, unless [freshAtMs] is set. [onWait] runs instead of a wait for news. */
+/** A view that is as recent as the test says: always, unless [freshAtMs] is set. [onWait] runs instead of a wait for a read. */
 internal class FakeFreshness(
     private val timer: TimerService,
 ) : StreamFreshness {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/DeafStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/MissedAppendStore.kt
@@ -12,7 +12,7 @@
 import yuccaflow.entry.store.StreamReadResult
 
 /** A store with one stream whose waits end only with records that are appended as not missed, or when their time is over. */
-internal class DeafStore : KeyedStore {
+internal class MissedAppendStore : KeyedStore {
     private val records = ArrayList<KeyedRecord>()
     private val noticedEnd = MutableStateFlow(0)
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/FirstPlannerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/FirstPlannerTest.kt
@@ -22,20 +22,20 @@
 import yuccaflow.entry.store.RouterGroup
 import yuccaflow.entry.store.StreamFollower
 
-@DisplayName("The first planner, while the group deals its work anew with each router that joins")
+@DisplayName("The first planner, while the group rebalances with each router that joins")
 class FirstPlannerTest {
     private val scheduler = TestCoroutineScheduler()
     private val timer = VirtualTimer(scheduler)
     private val scope = CoroutineScope(StandardTestDispatcher(scheduler))
     private val data = FakeStoreData(timer)
     private val settings = KeyOwnershipSettings()
-    private val group = RedealingGroup()
+    private val group = RebalancingGroup()
 
     /** Node and time of each claim. */
     private val claims = ArrayList<Pair<String, Long>>()
 
     /** Gives its work to the latest router that has joined. */
-    private class RedealingGroup : RouterGroup {
+    private class RebalancingGroup : RouterGroup {
         private val joined = LinkedHashSet<String>()
 
         override suspend fun join(member: String, generation: Long, ttlMs: Long): JoinResult {
@@ -100,7 +100,7 @@
 
     /** Guards against keys without owners for long if all large hosts are lost before the first election. */
     @Test
-    fun `is on a small host within a bound if no large host lives`() {
+    fun `is on a small host within a bound if no large host is up`() {
         addMember("lost", LARGE)
         repeat(SMALL_HOSTS) { startRouter("small$it", SMALL, startMs = 50L * it) }
         advance(RUN_MS)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
@@ -108,7 +108,7 @@
         expectThat(small.stands()).isTrue()
     }
 
-    /** Guards against small hosts that join the group, which deals its work anew, because the first planner has not answered them yet. */
+    /** Guards against small hosts that join the group, which rebalances, because the first planner has not answered them yet. */
     @Test
     fun `not on a small host right after the first planner has claimed the role`() {
         addMember("large", 1.5)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/FailoverStoreAccessTest.kt
@@ -92,7 +92,7 @@
     @Test
     fun `a router that only waits for records reads directly again when the store is back`() = runTest {
         val fixture = Fixture(VirtualTimer(testScheduler))
-        backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+        backgroundScope.launch { fixture.direct.checkAvailability() }
         fixture.ownStore.isDisconnected = true
         repeat(2) { fixture.access.read(KeyedStream.OPERATORS, 0, 25_000) }
         expectThat(fixture.log.count("relay_started")).isEqualTo(1)
@@ -110,7 +110,7 @@
         val fixture = Fixture(timer)
         val silent = RelayClient(LoopbackHttpClient { awaitCancellation() })
         val access = FailoverStoreAccess(fixture.direct, silent, { listOf(fixture.peer) }, timer, fixture.log)
-        backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+        backgroundScope.launch { fixture.direct.checkAvailability() }
         fixture.ownStore.isDisconnected = true
         fixture.direct.join("m", 0, 1_000)
         val read = async { access.read(KeyedStream.OPERATORS, 0, 0) }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/LateNewsTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/MissedRecordTest.kt
@@ -14,11 +14,11 @@
 import kotlin.random.Random
 
 @DisplayName("A record that waits at the store miss")
-class LateNewsTest {
+class MissedRecordTest {
     private fun TestScope.simulation(seed: Int, missedShare: Double) =
-        NewsSimulation(this, ROUTERS, Random(seed), missedShare).also { it.advance(SETTLED_MS) }
+        StreamFollowingSimulation(this, ROUTERS, Random(seed), missedShare).also { it.advance(SETTLED_MS) }
 
-    private fun NewsSimulation.expectInForceEverywhere(appends: Int, random: Random) = repeat(appends) {
+    private fun StreamFollowingSimulation.expectInForceEverywhere(appends: Int, random: Random) = repeat(appends) {
         expectThat(append(withinMs = IN_FORCE_MS)).all { isNotNull().isLessThanOrEqualTo(IN_FORCE_MS) }
         advance(random.nextLong(MAX_GAP_MS))
     }
@@ -32,7 +32,7 @@
         simulation.expectInForceEverywhere(appends = 8, Random(seed))
     }
 
-    /** Guards against late news if the planner, through which routers hear of each other's reads, is lost or not known. */
+    /** Guards against records that are read late if the planner, through which routers exchange their positions, is lost or not known. */
     @ParameterizedTest
     @ValueSource(ints = [11, 12, 13, 14])
     fun `is read by all routers within two seconds without a planner`(seed: Int) = runTest {
@@ -43,7 +43,7 @@
         simulation.expectInForceEverywhere(appends = 4, Random(seed))
     }
 
-    /** Guards against late news if every single wait at the store misses what is appended. */
+    /** Guards against records that are read late if every single wait at the store misses what is appended. */
     @Test
     fun `is read by all routers within two seconds even if no wait notices anything`() = runTest {
         val simulation = simulation(seed = 21, missedShare = 1.0)
@@ -70,7 +70,7 @@
 
     /** Guards against calls to the store that grow with the routers, which cost more than they help at 88 routers. */
     @Test
-    fun `costs few calls while there are no news`() = runTest {
+    fun `costs few calls while no records are appended`() = runTest {
         val simulation = simulation(seed = 31, missedShare = 0.7)
         simulation.planner = simulation.routers.first().relay
         simulation.advance(SETTLED_MS)
@@ -80,7 +80,7 @@
         expectThat(callsPerRouter).isLessThan(QUIET_MS / POLLING_MS.toDouble() / 2)
     }
 
-    /** Guards against a burst of calls beyond the limit that all routers share, because they all date their views from the planner's read. */
+    /** Guards against a burst of calls beyond the limit of all routers, because they all date their views from the planner's read. */
     @Test
     fun `does not make all routers call the store at the same time when the planner is lost`() = runTest {
         val simulation = simulation(seed = 41, missedShare = 0.7)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/SilentStoreFailoverTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/SilentStoreFailoverTest.kt
@@ -147,7 +147,7 @@
         @Test
         fun `and then notices that the store is unavailable`() = runTest {
             val fixture = Fixture(this, peerCount = 3)
-            backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+            backgroundScope.launch { fixture.direct.checkAvailability() }
             val wait = async { fixture.direct.read(KeyedStream.OPERATORS, 0, 25_000) }
             testScheduler.advanceTimeBy(100)
             fixture.store.isSilent = true
@@ -162,7 +162,7 @@
         @Test
         fun `and keeps to the store if it answers again`() = runTest {
             val fixture = Fixture(this, peerCount = 3)
-            backgroundScope.launch { fixture.direct.recheckWhileUnavailable() }
+            backgroundScope.launch { fixture.direct.checkAvailability() }
             fixture.store.isSilent = true
             fixture.read(waitMs = 0)
             fixture.store.isSilent = false
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/NewsSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/StreamFollowingSimulation.kt
@@ -38,7 +38,7 @@
  * store miss what is appended: each with a probability of [missedShare].
  */
 @OptIn(ExperimentalCoroutinesApi::class)
-internal class NewsSimulation(
+internal class StreamFollowingSimulation(
     private val scope: TestScope,
     routerCount: Int,
     private val random: Random,
@@ -54,7 +54,7 @@
     val routers = List(routerCount) { Router(SocketAddress("10.0.0.${it + 1}", 1)) }
 
     /** Long-polling reads of a store that end only when their time is over if they miss an append. */
-    private inner class MissingStore(
+    private inner class WaitMissingStore(
         private val store: FakeStore,
     ) : KeyedStore by store {
         override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
@@ -71,7 +71,7 @@
         val relay: SocketAddress,
     ) {
         private val ownStore = FakeStore(data)
-        private val store = SilentStore(MissingStore(ownStore), ownStore, timer)
+        private val store = SilentStore(WaitMissingStore(ownStore), ownStore, timer)
         private val log = RecordingEventLog()
         private val direct = DirectStoreAccess(store, store, timer, log)
         private val client = RelayClient(RoutedHttpClient())
@@ -123,7 +123,7 @@
                     StubKeyGrantClient(),
                     PlannerEndpoint(authority, clusterState, timer),
                 )
-            scope.backgroundScope.launch { direct.recheckWhileUnavailable() }
+            scope.backgroundScope.launch { direct.checkAvailability() }
             scope.backgroundScope.launch { follower.run() }
             scope.backgroundScope.launch { reporter.run() }
         }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
@@ -17,7 +17,7 @@
     @Nested
     @DisplayName("for a path without a route")
     inner class PathWithoutRoute : RequestRouterFixture() {
-        /** Guards against a 404 for a route that operators added seconds ago, whatever has kept the news from this router. */
+        /** Guards against a 404 for a route that operators added seconds ago, whatever delayed the record on this router. */
         @Test
         fun `refuses the request as not run`() = runTest {
             freshness.freshAtMs = timer.now - TABLE_AGE_MS
@@ -28,9 +28,9 @@
             expectThat(log.count("request_unrouted")).isEqualTo(1)
         }
 
-        /** Guards against a refusal although the news only waited behind the request on a late event loop. */
+        /** Guards against a refusal although the record only waited behind the request on a late event loop. */
         @Test
-        fun `answers by the news that arrive while the request waits`() = runTest {
+        fun `answers by the table that arrives while the request waits`() = runTest {
             freshness.freshAtMs = timer.now - TABLE_AGE_MS
             freshness.onWait = { freshness.freshAtMs = timer.now }
             expectThat(handleRequest("/unknown/x").status).isEqualTo(404)
@@ -55,7 +55,7 @@
             expectThat(sent).hasSize(1)
         }
 
-        /** Guards against a request that goes to a target which has left, while the news of that wait behind the request (DRAIN). */
+        /** Guards against a request that goes to a target which has left, while the record of that waits behind the request (DRAIN). */
         @Test
         fun `waits for recent entries of targets before it chooses one`() = runTest {
             targetsFreshness.freshAtMs = timer.now - TABLE_AGE_MS
@@ -64,9 +64,9 @@
             expectThat(sent).isEmpty()
         }
 
-        /** Guards against a target that is given more time than the caller has left, because the wait for the news is not counted. */
+        /** Guards against a target that is given more time than the caller has left, because the wait for the record is not counted. */
         @Test
-        fun `counts the wait for the news as time of the request`() = runTest {
+        fun `counts the wait for the record as time of the request`() = runTest {
             freshness.freshAtMs = timer.now - TABLE_AGE_MS
             freshness.onWait = { timer.now += WAIT_MS }
             handleRequest("/read/x", deadlineMs = DEADLINE_MS)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessOfSuspendedProcessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessOfSuspendedProcessTest.kt
@@ -12,7 +12,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isTrue
-import yuccaflow.entry.fake.DeafStore
+import yuccaflow.entry.fake.MissedAppendStore
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.SuspendableProcess
 import yuccaflow.entry.peer.StreamPositions
@@ -30,7 +30,13 @@
             override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) = Unit
         }
         val follower =
-            StreamFollower(DeafStore(), KeyedStream.OPERATORS, process, RecordingEventLog(), listener) { FollowerSettings.prompt(50) }
+            StreamFollower(
+                MissedAppendStore(),
+                KeyedStream.OPERATORS,
+                process,
+                RecordingEventLog(),
+                listener,
+            ) { FollowerSettings.prompt(50) }
         val positions = StreamPositions(listOf(follower), process)
 
         init {
@@ -57,7 +63,7 @@
 
     /**
      * Guards against a router that was never suspended and reads late, or keeps a leaving target for longer, because one that was has told
-     * it an age that lacks the suspension (CONFIG, DRAIN).
+     * it an age that omits the suspension (CONFIG, DRAIN).
      */
     @Test
     fun `tells other routers an age that includes the suspension, or none`() = runTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/StreamFreshnessTest.kt
@@ -15,7 +15,7 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
-import yuccaflow.entry.fake.DeafStore
+import yuccaflow.entry.fake.MissedAppendStore
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.VirtualTimer
 
@@ -27,7 +27,7 @@
         settings: FollowerSettings = FollowerSettings.prompt(batchDelayMs = 50),
     ) {
         val timer = VirtualTimer(scope.testScheduler)
-        val store = DeafStore()
+        val store = MissedAppendStore()
         val log = RecordingEventLog()
         val receivedAtMs = LinkedHashMap<Long, Long>()
         private val listener = object : StreamListener {
@@ -61,7 +61,7 @@
         expectThat(fixture.log.count("stream_wait_missed")).isEqualTo(1)
     }
 
-    /** Guards against a wait on a connection that has gone silent: it looks like one without news (CONFIG, DRAIN). */
+    /** Guards against a wait on a connection that has gone silent: it looks like one without records (CONFIG, DRAIN). */
     @Test
     fun `notices within two seconds that the store does not answer`() = runTest {
         val fixture = Fixture(this)
@@ -72,9 +72,9 @@
     }
 
     @Nested
-    @DisplayName("and that hears from other routers")
+    @DisplayName("and that gets positions from other routers")
     inner class WithOtherRouters {
-        /** Guards against news that all routers but one have, and that reach this one seconds later. */
+        /** Guards against a record that all routers but one have read, and that reaches this one seconds later. */
         @Test
         fun `reads at once when another router has read further`() = runTest {
             val fixture = Fixture(this)
@@ -99,7 +99,7 @@
             expectThat(fixture.follower.isFresh(1_000)).isTrue()
         }
 
-        /** Guards against a router that takes its view for out of date for good, because another one named an offset that does not exist. */
+        /** Guards against a view that counts as out of date for good, because another router named an offset that does not exist. */
         @Test
         fun `counts as recent again after a read of its own has found no such records`() = runTest {
             val fixture = Fixture(this)
@@ -111,7 +111,7 @@
 
         /** Guards against calls to the store that grow with the number of routers. */
         @Test
-        fun `makes no calls while another router confirms that there are no news`() = runTest {
+        fun `makes no calls while another router confirms that there are no records`() = runTest {
             val fixture = Fixture(this)
             fixture.settle()
             val before = fixture.store.reads
@@ -123,7 +123,7 @@
             expectThat(fixture.follower.isFresh(1_000)).isTrue()
         }
 
-        /** Guards against a planner that acts longer than its own reads of the store allow, because another router vouched for it (OWNER). */
+        /** Guards against a planner that acts longer than its own reads allow, because another router confirmed its view (OWNER). */
         @Test
         fun `does not take what another router confirms for a read of its own`() = runTest {
             val fixture = Fixture(this)
@@ -168,7 +168,7 @@
 
         /** Guards against requests that are routed by an old table although one read would bring the new one. */
         @Test
-        fun `reads and returns with the news`() = runTest {
+        fun `reads and returns with the record`() = runTest {
             val fixture = Fixture(this, stale)
             fixture.settle()
             fixture.advance(5_000)
@@ -178,6 +178,21 @@
             expectThat(fixture.follower.isFresh(2_000)).isTrue()
         }
 
+        /** Guards against requests that wait in vain again and again while the store is slow for the router that confirms, too. */
+        @Test
+        fun `lets one request wait in vain also if other routers confirm an old view`() = runTest {
+            val fixture = Fixture(this, stale)
+            fixture.settle()
+            fixture.advance(5_000)
+            fixture.store.callMs = 1_400
+            val startedAtMs = fixture.timer.nowMs()
+            repeat(5) {
+                fixture.follower.learnPosition(endOffset = 0, confirmedAtMs = fixture.timer.nowMs() - 2_500)
+                fixture.follower.awaitFresh(maxAgeMs = 2_000, timeoutMs = 200)
+            }
+            expectThat(fixture.timer.nowMs() - startedAtMs).isLessThanOrEqualTo(200)
+        }
+
         /** Guards against requests that each wait in vain while the store is slow or silent, although their routes are known. */
         @Test
         fun `lets one request wait in vain for a read, and not each of those that follow`() = runTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/telemetry/EventLoopMonitorTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/telemetry/EventLoopMonitorTest.kt
@@ -21,14 +21,14 @@
         val monitor = EventLoopMonitor(process, RecordingEventLog())
         backgroundScope.launch(process.dispatcher) { monitor.run() }
         testScheduler.advanceTimeBy(1_010)
-        expectThat(monitor.possibleWaitMs).isEqualTo(0)
+        expectThat(monitor.readDelayMs).isEqualTo(0)
         process.suspend()
         testScheduler.advanceTimeBy(1_000)
-        expectThat(monitor.possibleWaitMs).isGreaterThan(700)
+        expectThat(monitor.readDelayMs).isGreaterThan(700)
         process.resume(stoppedClockMs = 0)
         testScheduler.advanceTimeBy(1)
-        expectThat(monitor.possibleWaitMs).isGreaterThan(700)
+        expectThat(monitor.readDelayMs).isGreaterThan(700)
         testScheduler.advanceTimeBy(300)
-        expectThat(monitor.possibleWaitMs).isEqualTo(0)
+        expectThat(monitor.readDelayMs).isEqualTo(0)
     }
 }
