Count only unusual delays of the event loop as time of a request

On a host that may run a tenth of a second at a time, an event loop is late by that all the while, and each request would have lost this time although it had hardly waited. Delays under 250 ms, which are not logged either, count as none; the rule on callers that have left allows for half a second. EventLoopMonitorTest, 'counts no wait while the loop is late by a tenth of a second'.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLoopMonitor.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLoopMonitor.kt
@@ -15,8 +15,11 @@
 
     private var dueAtMs = Long.MAX_VALUE
 
-    /** For how long input that is read now may have waited: the delay of the latest measurement, or of the one that is overdue. */
-    val readDelayMs: Long get() = maxOf(delayMs, timer.nowMs() - dueAtMs)
+    /**
+     * For how long input that is read now may have waited: the delay of the latest measurement, or of the one that is overdue. Usual delays
+     * count as none, because they would take a part of each request's time.
+     */
+    val readDelayMs: Long get() = maxOf(delayMs, timer.nowMs() - dueAtMs).takeIf { it >= UNUSUAL_DELAY_MS } ?: 0
 
     /** Measures until cancelled, and logs long delays. */
     suspend fun run() {
@@ -24,7 +27,7 @@
             dueAtMs = timer.nowMs() + INTERVAL_MS
             timer.sleep(INTERVAL_MS)
             delayMs = (timer.nowMs() - dueAtMs).coerceAtLeast(0)
-            if (delayMs >= LOGGED_DELAY_MS) events.log(Events.EVENT_LOOP_DELAYED) { put("delay_ms", delayMs) }
+            if (delayMs >= UNUSUAL_DELAY_MS) events.log(Events.EVENT_LOOP_DELAYED) { put("delay_ms", delayMs) }
         }
     }
 
@@ -32,6 +35,6 @@
         const val INTERVAL_MS = 250L
 
         /** Shorter delays are usual on a host with a small share of a core. */
-        const val LOGGED_DELAY_MS = 250L
+        const val UNUSUAL_DELAY_MS = 250L
     }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/telemetry/EventLoopMonitorTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/telemetry/EventLoopMonitorTest.kt
@@ -31,4 +31,19 @@
         testScheduler.advanceTimeBy(300)
         expectThat(monitor.readDelayMs).isEqualTo(0)
     }
+
+    /** Guards against requests that are given up early on hosts that run a tenth of a second at a time, where short delays are usual. */
+    @Test
+    fun `counts no wait while the loop is late by a tenth of a second`() = runTest {
+        val process = SuspendableProcess(testScheduler)
+        val monitor = EventLoopMonitor(process, RecordingEventLog())
+        backgroundScope.launch(process.dispatcher) { monitor.run() }
+        testScheduler.advanceTimeBy(1_010)
+        process.suspend()
+        testScheduler.advanceTimeBy(350)
+        process.resume(stoppedClockMs = 0)
+        testScheduler.advanceTimeBy(1)
+        expectThat(monitor.delayMs).isGreaterThan(90)
+        expectThat(monitor.readDelayMs).isEqualTo(0)
+    }
 }
