--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -150,7 +150,7 @@
     }
 
     override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
-        if (nextOffset == null || isFresh(maxAgeMs) || consecutiveFailures > 0 || unmetMaxAgeMs != null) return
+        if (isFresh(maxAgeMs) || !isReadExpectedSoon()) return
         refresh()
         withTimeoutOrNull(timeoutMs) { freshnessChanges.first { isFresh(maxAgeMs) } }
         unmetMaxAgeMs = maxAgeMs.takeUnless(::isFresh)
@@ -261,6 +261,8 @@
         }
     }
 
+    private fun isReadExpectedSoon(): Boolean = nextOffset != null && consecutiveFailures == 0 && unmetMaxAgeMs == null
+
     private fun drawWaitMs(): Long = settings().let { maxOf(it.catchUpWaitMs, it.waitMs - random.nextLong(it.waitSpreadMs + 1)) }
 
     private fun drawMaxAgeMs(): Long? = settings().maxAgeMs?.let { it - random.nextLong(it / AGE_SPREAD_DIVISOR + 1) }
