Receive an answer of the store for as long as parts of it arrive

Callers were served by an old configuration because a router never received the new one: an answer that took longer than 1.5 s, up to 1 MB of configurations of 250 KB on a small host's link, was given up, nothing of it was kept, and the read began again. The failed call also ended the reads of the other streams, counted as an outage of the store, and had the same bytes sent by two other routers.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -44,30 +45,58 @@
     private var isCheckRequested = false
     private var slowAtMs: Long? = null
 
+    /** When a part of an answer to a read last arrived. */
+    private var arrivedAtMs = Long.MIN_VALUE / 2
+
     /**
      * Whether a call was slow in the last few seconds. Appends are then slow as well, and a read that arrives while an append is being
      * carried out may miss its records.
      */
     val isSlow: Boolean get() = slowAtMs?.let { timer.nowMs() - it < SLOW_PERIOD_MS } ?: false
 
-    override suspend fun snapshot(stream: KeyedStream): SnapshotResult =
-        measured("snapshot") { store.snapshot(stream) }.also { recordResult(it is SnapshotResult.Snapshot) }
-
-    /** Fails early if another call fails, because the store may have stopped answering. */
-    override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult = coroutineScope {
-        val call = async { read(stream, fromOffset, waitMs, timer.nowMs()) }
-        select {
-            call.onAwait { it }
-            callFailed.onAwait {
-                call.cancel()
-                StreamReadResult.Failed("another call to the store failed")
-            }
+    override suspend fun snapshot(stream: KeyedStream, onArriving: () -> Unit): SnapshotResult {
+        val recordedArrival = {
+            recordArrival()
+            onArriving()
         }
+        return measured("snapshot", stream) { store.snapshot(stream, recordedArrival) }.also { recordResult(it is SnapshotResult.Snapshot) }
     }
 
-    private suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, startedAtMs: Long): StreamReadResult {
-        val result = store.read(stream, fromOffset, waitMs)
-        logIfSlow("read", timer.nowMs() - startedAtMs - waitMs)
+    /**
+     * Fails early if another call fails before an answer arrives, because the store may have stopped answering.
+     */
+    override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, onArriving: (Long) -> Unit): StreamReadResult =
+        coroutineScope {
+            val answerBegun = CompletableDeferred<Long>()
+            val call = async {
+                read(stream, fromOffset, waitMs, answerBegun) { endOffset ->
+                    recordArrival()
+                    answerBegun.complete(timer.nowMs())
+                    onArriving(endOffset)
+                }
+            }
+            select {
+                call.onAwait { it }
+                answerBegun.onAwait { call.await() }
+                callFailed.onAwait {
+                    call.cancel()
+                    StreamReadResult.Failed("another call to the store failed")
+                }
+            }
+        }
+
+    private suspend fun read(
+        stream: KeyedStream,
+        fromOffset: Long,
+        waitMs: Long,
+        answerBegunAtMs: Deferred<Long>,
+        onArriving: (Long) -> Unit,
+    ): StreamReadResult {
+        val startedAtMs = timer.nowMs()
+        val result = store.read(stream, fromOffset, waitMs, onArriving)
+        val transferMs = if (answerBegunAtMs.isCompleted) timer.nowMs() - answerBegunAtMs.await() else null
+        // A wait that ends early was answered at once, so only the transfer can have been slow.
+        logIfSlow("read", stream, maxOf(timer.nowMs() - startedAtMs - waitMs, transferMs ?: 0), transferMs)
         recordResult(result !is StreamReadResult.Failed)
         return result
     }
@@ -103,24 +132,32 @@
         }
     }
 
-    private suspend fun <T> measured(name: String, call: suspend () -> T): T {
+    private suspend fun <T> measured(name: String, stream: KeyedStream? = null, call: suspend () -> T): T {
         val startedAtMs = timer.nowMs()
         val result = call()
         val nowMs = timer.nowMs()
         if (nowMs - startedAtMs > SLOW_CALL_MS) slowAtMs = nowMs
-        logIfSlow(name, nowMs - startedAtMs)
+        logIfSlow(name, stream, nowMs - startedAtMs)
         return result
     }
 
-    private fun logIfSlow(name: String, elapsedMs: Long) {
+    private fun logIfSlow(name: String, stream: KeyedStream?, elapsedMs: Long, transferMs: Long? = null) {
         if (elapsedMs < LOGGED_CALL_MS) return
         events.log(Events.STORE_CALL_SLOW) {
             put("call", name)
+            put("stream", stream?.name)
             put("elapsed_ms", elapsedMs)
+            put("transfer_ms", transferMs)
         }
     }
 
+    private fun recordArrival() {
+        arrivedAtMs = timer.nowMs()
+    }
+
     private fun recordResult(isAvailable: Boolean) {
+        // While the store is sending something to this router, a failed call says nothing about the store.
+        if (!isAvailable && timer.nowMs() - arrivedAtMs < ARRIVAL_PROVES_MS) return
         if (!isAvailable) {
             lastFailureAtMs.value = timer.nowMs()
             callFailed.complete(Unit)
@@ -135,6 +172,9 @@
         const val SLOW_CALL_MS = 60L
         const val SLOW_PERIOD_MS = 3_000L
 
+        /** Time for which a part of an answer proves that the store is available. */
+        const val ARRIVAL_PROVES_MS = 500L
+
         /** Time of a call, without the wait of a read, from which on it is logged. */
         const val LOGGED_CALL_MS = 250L
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
@@ -39,10 +39,11 @@
         current.complete(Unit)
     }
 
-    override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult {
+    override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, onArriving: (Long) -> Unit): StreamReadResult {
         if (stream == KeyedStream.ROUTERS && planner() == null) recordSilence()
         val address = planner().takeIf { stream == KeyedStream.ROUTERS && waitMs > 0 && timer.nowMs() >= bypassUntilMs }
-        return address?.let { readFromPlanner(it, fromOffset, minOf(waitMs, MAX_WAIT_MS)) } ?: store.read(stream, fromOffset, waitMs)
+        return address?.let { readFromPlanner(it, fromOffset, minOf(waitMs, MAX_WAIT_MS)) }
+            ?: store.read(stream, fromOffset, waitMs, onArriving)
     }
 
     private suspend fun readFromPlanner(address: SocketAddress, fromOffset: Long, waitMs: Long): StreamReadResult? = coroutineScope {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -16,12 +16,19 @@
 import yuccaflow.http.HttpResponse
 import yuccaflow.http.HttpResult
 import yuccaflow.http.SocketAddress
+import yuccaflow.http.TransferLimits
 import yuccaflow.http.headersOf
 
 private const val RELAY_PATH = "/relay"
 private const val OK = 200
 private const val BAD_REQUEST = 400
 
+/** Longest pause within an answer. */
+private const val STALL_LIMIT_MS = 700L
+
+/** Time for the largest answer on a link that is nearly full. */
+private const val TRANSFER_LIMIT_MS = 10_000L
+
 /** Time for the target to complete the requests in flight for the keys. */
 private const val RELEASE_TIMEOUT_MS = 1_000L
 
@@ -37,7 +44,13 @@
     suspend fun send(peer: SocketAddress, call: RelayCall, timeoutMs: Long): RelayAnswer {
         val body = CBOR.encodeToByteArray(RelayCall.serializer(), call)
         val request = HttpRequest("POST", RELAY_PATH, headersOf("Content-Type" to "application/cbor"), body)
-        return when (val result = client.send(peer, request, timeoutMs)) {
+        // Answers with records may be large for the links of both routers.
+        val result = when (call) {
+            is RelayCall.Read, is RelayCall.Snapshot, is RelayCall.RouterRecords ->
+                client.transfer(peer, request, TransferLimits(timeoutMs, stallMs = STALL_LIMIT_MS, totalMs = TRANSFER_LIMIT_MS))
+            else -> client.send(peer, request, timeoutMs)
+        }
+        return when (result) {
             is HttpResult.NotSent -> RelayAnswer.NotServed
             is HttpResult.Unknown -> RelayAnswer.Unknown(result.reason)
             is HttpResult.Answered -> decode(result.response)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
@@ -84,11 +84,16 @@
 
 /** The platform's store of keyed streams. Reads and appends are linearizable. */
 interface KeyedStore {
-    /** Reads the latest record of each key of [stream]. */
-    suspend fun snapshot(stream: KeyedStream): SnapshotResult
+    /** Reads the latest record of each key of [stream]. [onArriving] is called whenever a part of the answer arrives. */
+    suspend fun snapshot(stream: KeyedStream, onArriving: () -> Unit = {}): SnapshotResult
 
-    /** Reads the records of [stream] from [fromOffset] on. Waits at most [waitMs] for the first one. */
-    suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long): StreamReadResult
+    /**
+     * Reads the records of [stream] from [fromOffset] on. Waits at most [waitMs] for the first one.
+     *
+     * [onArriving] is called with the end of the stream whenever a part of the answer arrives. On a slow link that is long before the
+     * records have arrived. It is not called if the answer comes from another router.
+     */
+    suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, onArriving: (endOffset: Long) -> Unit = {}): StreamReadResult
 
     /** Atomically appends [changes]. If [expectedEndOffset] is not null, does so only if the stream ends there. */
     suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?): KeyedAppendResult
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -109,16 +109,17 @@
     /**
      * Reads the response to a request with [method]. A response with another request id than [expectedRequestId] is treated according to
      * [HttpClientSettings.mismatchedResponses]. A response without an id cannot be attributed to any request and breaks the connection.
+     * [onPart] is called with each part of a body when it arrives.
      */
-    suspend fun read(method: String, expectedRequestId: String?): ResponseRead = try {
-        readMatching(method, expectedRequestId)
+    suspend fun read(method: String, expectedRequestId: String?, onPart: (ByteArray) -> Unit = {}): ResponseRead = try {
+        readMatching(method, expectedRequestId, onPart)
     } finally {
         account.releaseAll()
     }
 
-    private suspend fun readMatching(method: String, expectedRequestId: String?): ResponseRead {
+    private suspend fun readMatching(method: String, expectedRequestId: String?, onPart: (ByteArray) -> Unit): ResponseRead {
         while (true) {
-            val read = readOne(method)
+            val read = readOne(method, onPart)
             if (read !is ResponseRead.Complete) return read
             if (expectedRequestId == null) return read
             val answeredId = read.response.headers[settings.requestIdHeader]
@@ -130,7 +131,7 @@
         }
     }
 
-    private suspend fun readOne(method: String): ResponseRead {
+    private suspend fun readOne(method: String, onPart: (ByteArray) -> Unit): ResponseRead {
         while (true) {
             return when (val event = events.receive()) {
                 null -> ResponseRead.Broken("the connection was closed before the response")
@@ -138,7 +139,7 @@
                 is InboundEvent.Head -> {
                     val head = event.message as NettyResponse
                     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
-                    readBody(method, head)
+                    readBody(method, head, onPart)
                 }
                 else -> continue
             }
@@ -149,7 +150,7 @@
         channel.close()
     }
 
-    private suspend fun readBody(method: String, head: NettyResponse): ResponseRead {
+    private suspend fun readBody(method: String, head: NettyResponse, onPart: (ByteArray) -> Unit): ResponseRead {
         val isFramed = hasKnownLength(method, head)
         if (!isFramed && !settings.acceptsCloseDelimitedBodies) {
             return ResponseRead.Broken("the response does not give the length of its body")
@@ -160,7 +161,7 @@
                 null -> return ResponseRead.Broken("the connection was closed within the response")
                 is InboundEvent.Malformed -> return ResponseRead.Broken("the body of the response is malformed: ${event.cause.message}")
                 is InboundEvent.Body -> when (body.append(event.bytes)) {
-                    BodyBuffer.AppendResult.APPENDED -> Unit
+                    BodyBuffer.AppendResult.APPENDED -> onPart(event.bytes)
                     BodyBuffer.AppendResult.OVER_LIMIT ->
                         return ResponseRead.Broken("the body is over ${settings.bodyLimitBytes} bytes")
                     BodyBuffer.AppendResult.NO_MEMORY ->
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -29,11 +29,24 @@
     ): HttpResult {
         if (closed) return HttpResult.NotSent("the client is closed")
         val call = Call(address, request, expectedRequestId, prepare)
-        val pool = pools.computeIfAbsent(address) { ConnectionPool(it, settings, memory) }
+        val pool = poolOf(address)
         val result = withTimeoutOrNull(timeoutMs) {
             pool.permits.withPermit { exchange(pool, call) }
         }
-        return result ?: timedOut(call, timeoutMs)
+        return result ?: timedOut(call, "$timeoutMs ms")
+    }
+
+    override suspend fun transfer(
+        address: SocketAddress,
+        request: HttpRequest,
+        limits: TransferLimits,
+        onPart: (ByteArray) -> Unit,
+    ): HttpResult {
+        if (closed) return HttpResult.NotSent("the client is closed")
+        val progress = TransferProgress(limits, onPart)
+        val call = Call(address, request, expectedRequestId = null, prepare = { it }, progress::recordPart)
+        val pool = poolOf(address)
+        return progress.withinLimits { pool.permits.withPermit { exchange(pool, call) } } ?: timedOut(call, "the limits of a large response")
     }
 
     override suspend fun close() {
@@ -41,11 +54,14 @@
         pools.values.forEach { it.close() }
     }
 
+    private fun poolOf(address: SocketAddress) = pools.computeIfAbsent(address) { ConnectionPool(it, settings, memory) }
+
     private inner class Call(
         val address: SocketAddress,
         val request: HttpRequest,
         val expectedRequestId: String?,
         private val prepare: (HttpRequest) -> HttpRequest?,
+        val onPart: (ByteArray) -> Unit = {},
     ) {
         val sendState = SendState(::encodePrepared)
 
@@ -82,7 +98,7 @@
         var reusable = false
         try {
             if (!connection.write(call.sendState)) return if (call.sendState.isWithdrawn) call.withdrawn() else null
-            return when (val read = connection.read(call.request.method, call.expectedRequestId)) {
+            return when (val read = connection.read(call.request.method, call.expectedRequestId, call.onPart)) {
                 is ResponseRead.Broken -> HttpResult.Unknown("${call.address}: ${read.reason}")
                 is ResponseRead.Complete -> {
                     reusable = read.reusable
@@ -94,11 +110,11 @@
         }
     }
 
-    private fun timedOut(call: Call, timeoutMs: Long): HttpResult =
+    private fun timedOut(call: Call, limit: String): HttpResult =
         if (call.sendState.abandon()) {
-            HttpResult.NotSent("no free connection to ${call.address} within $timeoutMs ms")
+            HttpResult.NotSent("no free connection to ${call.address} within $limit")
         } else {
-            HttpResult.Unknown("no whole response from ${call.address} within $timeoutMs ms")
+            HttpResult.Unknown("no whole response from ${call.address} within $limit")
         }
 
     private fun encode(address: SocketAddress, request: HttpRequest): FullHttpRequest {
