Read the newest records when large ones have piled up, and receive each only once at a time

Callers were served by a configuration seven versions old: a router read each of a series of changes, faster than its link carried them, and the waiting read and the one beside it received the same record twice.

After a large answer that leaves two records or more, the follower takes the newest record of each key (event stream_backlog). The first of the two reads whose answer shows records ends the other one.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -1,5 +1,6 @@
 package yuccaflow.entry.store
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
@@ -185,7 +186,7 @@
         }
     }
 
-    /** Reads the following records. Returns when the store no longer has the next ones, so that a new snapshot is needed. */
+    /** Reads the following records. Returns when the store no longer has the next ones, or when a new snapshot is less to read. */
     private suspend fun follow() {
         var isCaughtUp = false
         while (true) {
@@ -195,6 +196,7 @@
             when (result) {
                 is StreamReadResult.Read -> {
                     onRead(result, next, startedAtMs)
+                    if (hasLargeBacklog(result)) return logBacklog(result)
                     isCaughtUp = result.records.isEmpty()
                     val showsNoRecords = isCaughtUp && result.endOffset > next
                     if (showsNoRecords) timer.sleep(settings().minRefreshIntervalMs)
@@ -212,6 +214,19 @@
         }
     }
 
+    /** Whether the records after those of [result] are probably large and replace each other, so that the newest ones are less to read. */
+    private fun hasLargeBacklog(result: StreamReadResult.Read): Boolean {
+        val last = result.records.lastOrNull() ?: return false
+        val bytes = result.records.sumOf { it.value?.size ?: 0 }
+        return result.endOffset - last.offset > 2 && bytes >= LARGE_ANSWER_BYTES
+    }
+
+    private fun logBacklog(result: StreamReadResult.Read) = events.log(Events.STREAM_BACKLOG) {
+        put("stream", stream.name)
+        put("offset", nextOffset)
+        put("end_offset", result.endOffset)
+    }
+
     private fun onRead(result: StreamReadResult.Read, from: Long, startedAtMs: Long) {
         // An answer without records may report a later end of the stream. The records before that end are yet to be read.
         val next = result.records.lastOrNull()?.let { it.offset + 1 } ?: from
@@ -222,26 +237,41 @@
         if (next >= result.endOffset) recordConfirmed(startedAtMs)
     }
 
-    /** Waits up to [waitMs] for the records from [from] on, and reads them without a wait where there is a reason to. */
+    /**
+     * Waits up to [waitMs] for the records from [from] on, and reads them without a wait where there is a reason to. The first of the two
+     * whose answer shows records ends the other one, because both answers would take the same link.
+     */
     private suspend fun readNext(from: Long, waitMs: Long): TimedRead = coroutineScope {
-        val wait = async { read(from, waitMs) }
-        val missed = async { readMissed(from, waitMs) }
+        val waitHasRecords = CompletableDeferred<Unit>()
+        val missedHasRecords = CompletableDeferred<Unit>()
+        val wait = async { read(from, waitMs) { waitHasRecords.complete(Unit) } }
+        val missed = async { readMissed(from, waitMs) { missedHasRecords.complete(Unit) } }
         select {
             wait.onAwait { it }
             missed.onAwait { it }
+            waitHasRecords.onAwait {
+                missed.cancel()
+                wait.await()
+            }
+            missedHasRecords.onAwait {
+                wait.cancel()
+                missed.await()
+            }
         }.also {
             wait.cancel()
             missed.cancel()
         }
     }
 
-    private suspend fun read(from: Long, waitMs: Long): TimedRead {
+    /** Reads the records from [from] on. [onRecordsArriving] is called when an answer that has some begins to arrive. */
+    private suspend fun read(from: Long, waitMs: Long, onRecordsArriving: () -> Unit): TimedRead {
         val startedAtMs = timer.nowMs()
-        return TimedRead(store.read(stream, from, waitMs), startedAtMs)
+        val result = store.read(stream, from, waitMs) { endOffset -> if (endOffset > from) onRecordsArriving() }
+        return TimedRead(result, startedAtMs)
     }
 
     /** Returns what the wait of [waitMs] from [from] on that has just begun has missed. Does not return while it has missed nothing. */
-    private suspend fun readMissed(from: Long, waitMs: Long): TimedRead {
+    private suspend fun readMissed(from: Long, waitMs: Long, onRecordsArriving: () -> Unit): TimedRead {
         val waitStartedAtMs = timer.nowMs()
         var maxAgeMs = drawMaxAgeMs()
         var recheckAtMs = settings().recheckAfterMs?.takeIf { it < waitMs }?.let { waitStartedAtMs + it }
@@ -249,7 +279,7 @@
             val reason = awaitReasonToRead(waitStartedAtMs, recheckAtMs, maxAgeMs)
             if (reason == ReadReason.AGE) maxAgeMs = drawMaxAgeMs()
             if (reason == ReadReason.RECHECK) recheckAtMs = null
-            val read = read(from, waitMs = 0)
+            val read = read(from, waitMs = 0, onRecordsArriving)
             val result = read.result
             if (result !is StreamReadResult.Read) return read
             if (result.records.isNotEmpty()) {
@@ -341,6 +371,9 @@
     private companion object {
         const val MAX_DOUBLINGS = 8
 
+        /** Size of an answer from which on the link may not carry one for each record. */
+        const val LARGE_ANSWER_BYTES = 131_072
+
         /** Part of the longest age by which it varies: routers that know of the same read must not read at the same time. */
         const val AGE_SPREAD_DIVISOR = 3
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -17,6 +17,7 @@
     const val RELAY_ENDED = "relay_ended"
     const val STREAM_SNAPSHOT = "stream_snapshot"
     const val STREAM_EXPIRED = "stream_expired"
+    const val STREAM_BACKLOG = "stream_backlog"
     const val STREAM_WAIT_MISSED = "stream_wait_missed"
 
     const val CONFIG_APPLIED = "config_applied"
