Refuse requests while the view is known to be outdated, in place of using a known route at any age

Callers got the answer of a service that no longer serves the route, for as long as the new configuration was on its way: a known route was used at any age, whatever made the news late. To refuse by age alone would refuse in each outage of the store, when nobody has a more recent view.

A view is outdated if it was not complete in the last 2 s and in that time the store has shown a later end: in the first bytes of an answer that is still arriving, in an answer that leaves records out, or to another router that told its position. Requests are then refused as not run. Without such proof a known route is used as before, and a proof lasts for 2 s only, so that a router that has read a record right before an outage turns nobody else away.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
@@ -30,7 +30,8 @@
  * Finds the route of a request.
  *
  * If the routing table or the targets' entries may be out of date, the request waits a moment for a recent view: on an event loop that is
- * late, new records wait behind requests. If there is none, a known route is used, but an unknown one is not reported as missing.
+ * late, new records wait behind requests. If there is none, a known route is used, because in an outage of the store nobody has a more
+ * recent view, but an unknown one is not reported as missing. A view that is known to be outdated is not used at all.
  *
  * @property tableFreshness tells how recent the routing table is.
  * @property targetsFreshness tells how recent the targets' entries are, on which the choice of a target for the request relies.
@@ -46,14 +47,22 @@
     suspend fun find(requestId: String, host: String, path: String): RouteLookup {
         awaitFresh()
         val table = operators.table ?: return RouteLookup.Unknown("no routing table is known yet")
+        if (tableFreshness.isOutdated(MAX_VIEW_AGE_MS)) return unrouted(requestId, table, "the routing table is out of date")
+        if (targetsFreshness.isOutdated(MAX_VIEW_AGE_MS)) return unrouted(requestId, table, "the targets' entries are out of date")
         table.match(host, path)?.let { return RouteLookup.Found(table, it) }
         if (tableFreshness.isFresh(MAX_VIEW_AGE_MS)) return RouteLookup.NoRoute
+        return unrouted(requestId, table, "the routing table may be out of date")
+    }
+
+    private fun unrouted(requestId: String, table: RoutingTable, reason: String): RouteLookup {
         events.log(Events.REQUEST_UNROUTED) {
             put("request", requestId)
             put("config_version", table.version)
             put("table_age_ms", tableFreshness.freshAtMs?.let { timer.nowMs() - it })
+            put("targets_age_ms", targetsFreshness.freshAtMs?.let { timer.nowMs() - it })
+            put("reason", reason)
         }
-        return RouteLookup.Unknown("the routing table may be out of date")
+        return RouteLookup.Unknown(reason)
     }
 
     private suspend fun awaitFresh() {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -119,6 +119,9 @@
     /** The end of the stream that another router has reported and this follower has not reached, or null. */
     private var reportedEnd: ReportedEnd? = null
 
+    /** When the store last showed, to this router or to another one, that there are records which this follower has not passed on. */
+    private var latestMissingAtMs: Long? = null
+
     /** The age that a wait for a recent view has asked for in vain, or null if the view has been that recent since. */
     private var unmetMaxAgeMs: Long? = null
 
@@ -140,6 +143,7 @@
         val next = nextOffset ?: return
         if (endOffset > next) {
             reportedEnd = ReportedEnd(endOffset, timer.nowMs())
+            confirmedAtMs?.let(::recordMissing)
             return requestRead(ReadReason.OTHER_ROUTER)
         }
         if (confirmedAtMs != null) recordFresh(confirmedAtMs)
@@ -150,6 +154,12 @@
         return reportedEnd == null && timer.nowMs() - freshAtMs <= maxAgeMs
     }
 
+    override fun isOutdated(maxAgeMs: Long): Boolean {
+        val earliestMs = maxOf(timer.nowMs() - maxAgeMs, suspensions.uninterruptedSinceMs())
+        val isComplete = latestFreshAtMs?.let { it >= earliestMs } ?: false
+        return !isComplete && latestMissingAtMs?.let { it >= earliestMs } ?: false
+    }
+
     override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
         if (isFresh(maxAgeMs) || !isReadExpectedSoon()) return
         refresh()
@@ -168,7 +178,7 @@
     private suspend fun takeSnapshot() {
         while (true) {
             val startedAtMs = timer.nowMs()
-            when (val result = store.snapshot(stream)) {
+            when (val result = store.snapshot(stream) { if (nextOffset != null) recordMissing(timer.nowMs()) }) {
                 is SnapshotResult.Snapshot -> {
                     onAnswered()
                     events.log(Events.STREAM_SNAPSHOT) {
@@ -234,7 +244,7 @@
         nextOffset = next
         reportedEnd = reportedEnd?.takeIf { it.offset > next }
         onAnswered()
-        if (next >= result.endOffset) recordConfirmed(startedAtMs)
+        if (next >= result.endOffset) recordConfirmed(startedAtMs) else recordMissing(timer.nowMs())
     }
 
     /**
@@ -266,7 +276,12 @@
     /** Reads the records from [from] on. [onRecordsArriving] is called when an answer that has some begins to arrive. */
     private suspend fun read(from: Long, waitMs: Long, onRecordsArriving: () -> Unit): TimedRead {
         val startedAtMs = timer.nowMs()
-        val result = store.read(stream, from, waitMs) { endOffset -> if (endOffset > from) onRecordsArriving() }
+        val result = store.read(stream, from, waitMs) { endOffset ->
+            if (endOffset > from) {
+                recordMissing(timer.nowMs())
+                onRecordsArriving()
+            }
+        }
         return TimedRead(result, startedAtMs)
     }
 
@@ -321,6 +336,10 @@
         recordFresh(startedAtMs)
     }
 
+    private fun recordMissing(atMs: Long) {
+        latestMissingAtMs = maxOf(latestMissingAtMs ?: atMs, atMs)
+    }
+
     private fun recordFresh(atMs: Long) {
         latestFreshAtMs = maxOf(latestFreshAtMs ?: atMs, atMs)
         unmetMaxAgeMs = unmetMaxAgeMs?.takeUnless(::isFresh)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
@@ -11,6 +11,13 @@
     /** Returns whether the view was complete at some time in the last [maxAgeMs] and no later record is known to exist. */
     fun isFresh(maxAgeMs: Long): Boolean
 
+    /**
+     * Returns whether records are missing that were there [maxAgeMs] ago or earlier, or may have been: the view was not complete since, and
+     * in that time the store, or a router to which the store has shown its end, has shown a later end. A view that is only old is not
+     * outdated: in an outage of the store nobody knows of later records.
+     */
+    fun isOutdated(maxAgeMs: Long): Boolean
+
     /**
      * Waits up to [timeoutMs] until [isFresh]. Returns at once before the first snapshot, while the store cannot be reached, and if such a
      * wait has timed out since the view was last recent.
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeFreshness.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeFreshness.kt
@@ -12,6 +12,11 @@
 
     override fun isFresh(maxAgeMs: Long) = freshAtMs?.let { timer.nowMs() - it <= maxAgeMs } ?: true
 
+    /** Whether later records are known to exist. */
+    var isMissingRecords = false
+
+    override fun isOutdated(maxAgeMs: Long) = isMissingRecords && !isFresh(maxAgeMs)
+
     override suspend fun awaitFresh(maxAgeMs: Long, timeoutMs: Long) {
         if (!isFresh(maxAgeMs)) onWait()
     }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
@@ -55,6 +55,35 @@
             expectThat(sent).hasSize(1)
         }
 
+        /** Guards against requests that are handled as a replaced configuration says, whatever delays the new one (CONFIG). */
+        @Test
+        fun `refuses the request as not run while later records are known to be missing`() = runTest {
+            freshness.freshAtMs = timer.now - TABLE_AGE_MS
+            freshness.isMissingRecords = true
+            val response = handleRequest("/read/x")
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers["Retry-After"]).isNotNull()
+            expectThat(sent).isEmpty()
+            expectThat(log.count("request_unrouted")).isEqualTo(1)
+        }
+
+        /** Guards against requests that are sent to targets which have left, whatever delays their records (DRAIN). */
+        @Test
+        fun `refuses the request as not run while later entries of targets are known to be missing`() = runTest {
+            targetsFreshness.freshAtMs = timer.now - TABLE_AGE_MS
+            targetsFreshness.isMissingRecords = true
+            expectThat(handleRequest("/read/x").status).isEqualTo(503)
+            expectThat(sent).isEmpty()
+        }
+
+        /** Guards against refusals while a record that has just been appended is being read. */
+        @Test
+        fun `serves the request if the view was complete within the time in which records take effect`() = runTest {
+            freshness.freshAtMs = timer.now
+            freshness.isMissingRecords = true
+            expectThat(handleRequest("/read/x").status).isEqualTo(200)
+        }
+
         /** Guards against a request that goes to a target which has left, while the record of that waits behind the request (DRAIN). */
         @Test
         fun `waits for recent entries of targets before it chooses one`() = runTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/LargeRecordsTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/store/LargeRecordsTest.kt
@@ -8,8 +8,10 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.SlowLinkStore
 import yuccaflow.entry.fake.VirtualTimer
@@ -73,6 +75,34 @@
         expectThat(store.carriedBytes - before).isLessThan(RECORD_BYTES * 3L / 2)
     }
 
+    /** Guards against requests that are served by a configuration which is known to have been replaced seconds ago (CONFIG). */
+    @Test
+    fun `knows that its view is outdated while a record is arriving that was appended seconds ago`() = runTest {
+        val store = SlowLinkStore(RECORD_BYTES, bytesPerS = 60_000).also { it.append() }
+        val follower = follow(store)
+        testScheduler.advanceTimeBy(2 * SETTLED_MS)
+        store.append()
+        testScheduler.advanceTimeBy(IN_FORCE_MS)
+        expectThat(follower.isOutdated(IN_FORCE_MS)).isTrue()
+        testScheduler.advanceTimeBy(IN_FORCE_MS + 1_000)
+        expectThat(listener.latest).isEqualTo(1L)
+        expectThat(follower.isOutdated(IN_FORCE_MS)).isFalse()
+    }
+
+    /** Guards against a router that refuses everything in an outage, because it has learned of a record that it can't read. */
+    @Test
+    fun `does not take its view for outdated when the store falls silent`() = runTest {
+        val store = SlowLinkStore(RECORD_BYTES, bytesPerS = 60_000).also { it.append() }
+        val follower = follow(store)
+        testScheduler.advanceTimeBy(2 * SETTLED_MS)
+        store.append()
+        testScheduler.advanceTimeBy(500)
+        store.isSilent = true
+        follower.learnPosition(endOffset = 3, confirmedAtMs = testScheduler.currentTime)
+        testScheduler.advanceTimeBy(20_000)
+        expectThat(follower.isOutdated(IN_FORCE_MS)).isFalse()
+    }
+
     private companion object {
         const val RECORD_BYTES = 250_000
         const val SETTLED_MS = 5_000L
