--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -46,7 +46,10 @@
         val progress = TransferProgress(limits, onPart)
         val call = Call(address, request, expectedRequestId = null, prepare = { it }, progress::recordPart)
         val pool = poolOf(address)
-        return progress.withinLimits { pool.permits.withPermit { exchange(pool, call) } } ?: timedOut(call, "the limits of a large response")
+        val result = progress.withinLimits {
+            pool.permits.withPermit { exchange(pool, call) }
+        }
+        return result ?: timedOut(call, "the limits of a large response")
     }
 
     override suspend fun close() {
