--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -109,15 +109,15 @@
     /**
      * Reads the response to a request with [method]. A response with another request id than [expectedRequestId] is treated according to
      * [HttpClientSettings.mismatchedResponses]. A response without an id cannot be attributed to any request and breaks the connection.
-     * [onPart] is called with each part of a body when it arrives.
+     * [onPart] receives each part of the body when it arrives.
      */
-    suspend fun read(method: String, expectedRequestId: String?, onPart: (ByteArray) -> Unit = {}): ResponseRead = try {
+    suspend fun read(method: String, expectedRequestId: String?, onPart: BodyPartListener = BodyPartListener.NONE): ResponseRead = try {
         readMatching(method, expectedRequestId, onPart)
     } finally {
         account.releaseAll()
     }
 
-    private suspend fun readMatching(method: String, expectedRequestId: String?, onPart: (ByteArray) -> Unit): ResponseRead {
+    private suspend fun readMatching(method: String, expectedRequestId: String?, onPart: BodyPartListener): ResponseRead {
         while (true) {
             val read = readOne(method, onPart)
             if (read !is ResponseRead.Complete) return read
@@ -131,7 +131,7 @@
         }
     }
 
-    private suspend fun readOne(method: String, onPart: (ByteArray) -> Unit): ResponseRead {
+    private suspend fun readOne(method: String, onPart: BodyPartListener): ResponseRead {
         while (true) {
             return when (val event = events.receive()) {
                 null -> ResponseRead.Broken("the connection was closed before the response")
@@ -150,7 +150,7 @@
         channel.close()
     }
 
-    private suspend fun readBody(method: String, head: NettyResponse, onPart: (ByteArray) -> Unit): ResponseRead {
+    private suspend fun readBody(method: String, head: NettyResponse, onPart: BodyPartListener): ResponseRead {
         val isFramed = hasKnownLength(method, head)
         if (!isFramed && !settings.acceptsCloseDelimitedBodies) {
             return ResponseRead.Broken("the response does not give the length of its body")
@@ -161,7 +161,7 @@
                 null -> return ResponseRead.Broken("the connection was closed within the response")
                 is InboundEvent.Malformed -> return ResponseRead.Broken("the body of the response is malformed: ${event.cause.message}")
                 is InboundEvent.Body -> when (body.append(event.bytes)) {
-                    BodyBuffer.AppendResult.APPENDED -> onPart(event.bytes)
+                    BodyBuffer.AppendResult.APPENDED -> onPart.onPart(head.status().code(), event.bytes)
                     BodyBuffer.AppendResult.OVER_LIMIT ->
                         return ResponseRead.Broken("the body is over ${settings.bodyLimitBytes} bytes")
                     BodyBuffer.AppendResult.NO_MEMORY ->
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -80,13 +80,13 @@
 
     /**
      * Sends [request] as [send] does, and waits for the whole response within [limits], which suit a response that is large for its link.
-     * [onPart] is called with each part of the body when it arrives.
+     * [onPart] receives each part of the body when it arrives.
      */
     suspend fun transfer(
         address: SocketAddress,
         request: HttpRequest,
         limits: TransferLimits,
-        onPart: (ByteArray) -> Unit = {},
+        onPart: BodyPartListener = BodyPartListener.NONE,
     ): HttpResult = send(address, request, limits.beginMs)
 
     /** Closes all connections. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -40,7 +40,7 @@
         address: SocketAddress,
         request: HttpRequest,
         limits: TransferLimits,
-        onPart: (ByteArray) -> Unit,
+        onPart: BodyPartListener,
     ): HttpResult {
         if (closed) return HttpResult.NotSent("the client is closed")
         val progress = TransferProgress(limits, onPart)
@@ -64,7 +64,7 @@
         val request: HttpRequest,
         val expectedRequestId: String?,
         private val prepare: (HttpRequest) -> HttpRequest?,
-        val onPart: (ByteArray) -> Unit = {},
+        val onPart: BodyPartListener = BodyPartListener.NONE,
     ) {
         val sendState = SendState(::encodePrepared)
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/TransferLimits.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/TransferLimits.kt
@@ -20,10 +20,21 @@
     val totalMs: Long,
 )
 
-/** Tracks how far a response with [limits] has arrived. [onPart] is called with each part of the body. */
+/** Receives the parts of a response's body while they arrive. */
+fun interface BodyPartListener {
+    /** Called with each part of the body of a response with [status]. */
+    fun onPart(status: Int, bytes: ByteArray)
+
+    companion object {
+        /** Ignores all parts. */
+        val NONE = BodyPartListener { _, _ -> }
+    }
+}
+
+/** Tracks how far a response with [limits] has arrived. Passes the parts of its body on to [onPart]. */
 internal class TransferProgress(
     private val limits: TransferLimits,
-    private val onPart: (ByteArray) -> Unit,
+    private val onPart: BodyPartListener,
     private val nowMs: () -> Long = { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) },
 ) {
     private val begun = CompletableDeferred<Long>()
@@ -31,10 +42,10 @@
     @Volatile
     private var lastPartAtMs = 0L
 
-    fun recordPart(bytes: ByteArray) {
+    fun recordPart(status: Int, bytes: ByteArray) {
         lastPartAtMs = nowMs()
         begun.complete(lastPartAtMs)
-        onPart(bytes)
+        onPart.onPart(status, bytes)
     }
 
     /** Returns the result of [transfer], or null if it exceeds one of the limits and was cancelled. */
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/TransferLimitsTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/TransferLimitsTest.kt
@@ -19,11 +19,11 @@
     /** Returns the number of parts that arrived [intervalMs] apart, the first after [firstMs], or null if the transfer was given up. */
     private suspend fun TestScope.receive(parts: Int, intervalMs: Long, firstMs: Long = intervalMs): Int? {
         var received = 0
-        val progress = TransferProgress(limits, { received++ }) { testScheduler.currentTime }
+        val progress = TransferProgress(limits, { _, _ -> received++ }) { testScheduler.currentTime }
         return progress.withinLimits {
             repeat(parts) {
                 delay(if (it == 0) firstMs else intervalMs)
-                progress.recordPart(ByteArray(1))
+                progress.recordPart(status = 200, ByteArray(1))
             }
             received
         }
