End the process when the thread of an event loop or of the log ends, without loading a class

The body of the thread itself now ends the process in a finally, with a message and classes that exist from the start. The listener stays as a second way.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLog.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/EventLog.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import yuccaflow.base.TimerService
+import yuccaflow.http.EssentialThreads
 import java.io.OutputStream
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.atomic.AtomicLong
@@ -64,7 +65,8 @@
     private val unreportedQueueDrops = AtomicLong()
 
     init {
-        thread(name = "event-log", isDaemon = true) { writeLines() }
+        val body = EssentialThreads.guard("event-log") { writeLines() }
+        thread(name = "event-log", isDaemon = true) { body.run() }
     }
 
     /** Counts of one event name in the current one-second window. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
@@ -35,11 +35,16 @@
 
 /** Creates event loops that go back to the network often while many tasks are due, so that a close by a peer is seen before work for it. */
 internal fun newEventLoops(threads: Int): EventLoopGroup =
-    object : MultiThreadIoEventLoopGroup(threads, DefaultThreadFactory("yuccaflow-http", true), NioIoHandler.newFactory()) {
+    object : MultiThreadIoEventLoopGroup(threads, EventLoopThreadFactory(), NioIoHandler.newFactory()) {
         override fun newChild(executor: Executor, ioHandlerFactory: IoHandlerFactory, vararg args: Any): IoEventLoop =
             SingleThreadIoEventLoop(this, executor, ioHandlerFactory, Int.MAX_VALUE, RejectedExecutionHandlers.reject(), TASK_QUANTUM_MS)
     }
 
+/** Without an event loop its connections are served by nobody, so its thread is essential. */
+private class EventLoopThreadFactory : DefaultThreadFactory("yuccaflow-http", true) {
+    override fun newThread(body: Runnable, name: String): Thread = super.newThread(EssentialThreads.guard(name, body), name)
+}
+
 /** Returns the sizes of the reads from a socket. They limit what an event loop reads from all sockets before it passes any of it on. */
 internal fun receiveBuffers(): DefaultMaxMessagesRecvByteBufAllocator =
     AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES).apply { maxMessagesPerRead(MAX_READS_IN_A_ROW) }
@@ -61,12 +66,16 @@
 fun useSingleEventLoop(): EventLoopDispatchers = EventLoops.useOneThread()
 
 /**
- * Ends the process with [status] when one of its event loops has ended, which happens only when a thread fails. The connections of that
- * loop would be served by nobody, so the process must be started again.
+ * Ends the process with [status] when one of its event loops, or another of its [EssentialThreads], has ended, which happens only when a
+ * thread fails. The connections of that loop would be served by nobody, so the process must be started again.
  */
-fun haltOnEventLoopEnd(status: Int) = EventLoops.group.onLoopEnd {
-    System.err.println("an event loop has ended; the process cannot serve any more")
-    Runtime.getRuntime().halt(status)
+fun haltOnEventLoopEnd(status: Int) {
+    EssentialThreads.haltOnEnd(status)
+    // A second way, for a loop that ends but whose thread does not.
+    EventLoops.group.onLoopEnd {
+        System.err.println("an event loop has ended; the process cannot serve any more")
+        Runtime.getRuntime().halt(status)
+    }
 }
 
 internal fun EventLoopGroup.onLoopEnd(action: () -> Unit) = forEach { loop -> loop.terminationFuture().addListener { action() } }
--- /dev/null
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/FailedEventLoopTest.kt
@@ -0,0 +1,34 @@
+package yuccaflow.http
+
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+@DisplayName("A process whose event loop fails")
+class FailedEventLoopTest {
+    /** Guards against a process that keeps its ports and answers nothing, because the report of the failure fails as well. */
+    @Test
+    fun `ends within two seconds of the failure although classes cannot be loaded any more`() {
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val command = listOf(java, "-cp", System.getProperty("java.class.path"), "yuccaflow.http.FailedEventLoopMainKt")
+        val process = ProcessBuilder(command).redirectErrorStream(true).start()
+        try {
+            expectThat(process.waitFor(START_S + 2, TimeUnit.SECONDS)).describedAs("process has ended").isTrue()
+            expectThat(process.exitValue()).isEqualTo(LOOP_END_STATUS)
+            val output = process.inputStream.reader().readText()
+            expectThat(output).contains("NoClassDefFoundError").contains("the thread yuccaflow-http-1-1 has ended")
+        } finally {
+            process.destroyForcibly()
+        }
+    }
+
+    private companion object {
+        /** Time for the start of the process on a busy machine. */
+        const val START_S = 8L
+    }
+}
