--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/DirectStoreAccess.kt
@@ -45,7 +45,7 @@
     private var isCheckRequested = false
     private var slowAtMs: Long? = null
 
-    /** When a part of an answer to a read last arrived. */
+    /** When a part of an answer to a read or of a snapshot last arrived. */
     private var arrivedAtMs = Long.MIN_VALUE / 2
 
     /**
@@ -62,9 +62,7 @@
         return measured("snapshot", stream) { store.snapshot(stream, recordedArrival) }.also { recordResult(it is SnapshotResult.Snapshot) }
     }
 
-    /**
-     * Fails early if another call fails before an answer arrives, because the store may have stopped answering.
-     */
+    /** Fails early if another call fails before an answer begins to arrive, because the store may have stopped answering. */
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, onArriving: (Long) -> Unit): StreamReadResult =
         coroutineScope {
             val answerBegun = CompletableDeferred<Long>()
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/EssentialThreads.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EssentialThreads.kt
@@ -24,11 +24,12 @@
      */
     fun haltOnEnd(status: Int) {
         haltStatus = status
-        Thread.setDefaultUncaughtExceptionHandler { _, failure ->
+        Thread.setDefaultUncaughtExceptionHandler { thread, failure ->
             if (failure is LinkageError) {
                 report(failure)
                 end(linkageMessage)
             }
+            System.err.print("Exception in thread ${thread.name}: ")
             failure.printStackTrace()
         }
     }
