--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFreshness.kt
@@ -12,9 +12,9 @@
     fun isFresh(maxAgeMs: Long): Boolean
 
     /**
-     * Returns whether records are missing that were there [maxAgeMs] ago or earlier, or may have been: the view was not complete since, and
-     * in that time the store, or a router to which the store has shown its end, has shown a later end. A view that is only old is not
-     * outdated: in an outage of the store nobody knows of later records.
+     * Returns whether the view lacks records that may be older than [maxAgeMs]: it was not complete at any time in the last [maxAgeMs], and
+     * within that time the store has shown that there are later records, to this router or to one that has told it. A view that is only old
+     * is not outdated: in an outage of the store nobody knows of later records.
      */
     fun isOutdated(maxAgeMs: Long): Boolean
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/SlowLinkStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/SlowLinkStore.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedRecord
 import yuccaflow.entry.store.KeyedStore
@@ -46,7 +47,7 @@
     }
 
     override suspend fun read(stream: KeyedStream, fromOffset: Long, waitMs: Long, onArriving: (Long) -> Unit): StreamReadResult {
-        if (fromOffset >= endOffset && waitMs > 0) kotlinx.coroutines.withTimeoutOrNull(waitMs) { appended.await() }
+        if (fromOffset >= endOffset && waitMs > 0) withTimeoutOrNull(waitMs) { appended.await() }
         val end = endOffset
         val records = if (fromOffset < end) listOf(record(fromOffset)) else emptyList()
         if (!carry(recordBytes * records.size) { onArriving(end) }) return StreamReadResult.Failed("no answer")
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -109,17 +109,17 @@
     /**
      * Reads the response to a request with [method]. A response with another request id than [expectedRequestId] is treated according to
      * [HttpClientSettings.mismatchedResponses]. A response without an id cannot be attributed to any request and breaks the connection.
-     * [onPart] receives each part of the body when it arrives.
+     * [parts] receives each part of the body when it arrives.
      */
-    suspend fun read(method: String, expectedRequestId: String?, onPart: BodyPartListener = BodyPartListener.NONE): ResponseRead = try {
-        readMatching(method, expectedRequestId, onPart)
+    suspend fun read(method: String, expectedRequestId: String?, parts: BodyPartListener = BodyPartListener.NONE): ResponseRead = try {
+        readMatching(method, expectedRequestId, parts)
     } finally {
         account.releaseAll()
     }
 
-    private suspend fun readMatching(method: String, expectedRequestId: String?, onPart: BodyPartListener): ResponseRead {
+    private suspend fun readMatching(method: String, expectedRequestId: String?, parts: BodyPartListener): ResponseRead {
         while (true) {
-            val read = readOne(method, onPart)
+            val read = readOne(method, parts)
             if (read !is ResponseRead.Complete) return read
             if (expectedRequestId == null) return read
             val answeredId = read.response.headers[settings.requestIdHeader]
@@ -131,7 +131,7 @@
         }
     }
 
-    private suspend fun readOne(method: String, onPart: BodyPartListener): ResponseRead {
+    private suspend fun readOne(method: String, parts: BodyPartListener): ResponseRead {
         while (true) {
             return when (val event = events.receive()) {
                 null -> ResponseRead.Broken("the connection was closed before the response")
@@ -139,7 +139,7 @@
                 is InboundEvent.Head -> {
                     val head = event.message as NettyResponse
                     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
-                    readBody(method, head, onPart)
+                    readBody(method, head, parts)
                 }
                 else -> continue
             }
@@ -150,7 +150,7 @@
         channel.close()
     }
 
-    private suspend fun readBody(method: String, head: NettyResponse, onPart: BodyPartListener): ResponseRead {
+    private suspend fun readBody(method: String, head: NettyResponse, parts: BodyPartListener): ResponseRead {
         val isFramed = hasKnownLength(method, head)
         if (!isFramed && !settings.acceptsCloseDelimitedBodies) {
             return ResponseRead.Broken("the response does not give the length of its body")
@@ -161,7 +161,7 @@
                 null -> return ResponseRead.Broken("the connection was closed within the response")
                 is InboundEvent.Malformed -> return ResponseRead.Broken("the body of the response is malformed: ${event.cause.message}")
                 is InboundEvent.Body -> when (body.append(event.bytes)) {
-                    BodyBuffer.AppendResult.APPENDED -> onPart.onPart(head.status().code(), event.bytes)
+                    BodyBuffer.AppendResult.APPENDED -> parts.onPart(head.status().code(), event.bytes)
                     BodyBuffer.AppendResult.OVER_LIMIT ->
                         return ResponseRead.Broken("the body is over ${settings.bodyLimitBytes} bytes")
                     BodyBuffer.AppendResult.NO_MEMORY ->
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -80,13 +80,15 @@
 
     /**
      * Sends [request] as [send] does, and waits for the whole response within [limits], which suit a response that is large for its link.
-     * [onPart] receives each part of the body when it arrives.
+     * [parts] receives each part of the body when it arrives.
+     *
+     * The default is for clients whose responses arrive all at once: it passes no parts on.
      */
     suspend fun transfer(
         address: SocketAddress,
         request: HttpRequest,
         limits: TransferLimits,
-        onPart: BodyPartListener = BodyPartListener.NONE,
+        parts: BodyPartListener = BodyPartListener.NONE,
     ): HttpResult = send(address, request, limits.beginMs)
 
     /** Closes all connections. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -40,10 +40,10 @@
         address: SocketAddress,
         request: HttpRequest,
         limits: TransferLimits,
-        onPart: BodyPartListener,
+        parts: BodyPartListener,
     ): HttpResult {
         if (closed) return HttpResult.NotSent("the client is closed")
-        val progress = TransferProgress(limits, onPart)
+        val progress = TransferProgress(limits, parts)
         val call = Call(address, request, expectedRequestId = null, prepare = { it }, progress::recordPart)
         val pool = poolOf(address)
         val result = progress.withinLimits {
@@ -64,7 +64,7 @@
         val request: HttpRequest,
         val expectedRequestId: String?,
         private val prepare: (HttpRequest) -> HttpRequest?,
-        val onPart: BodyPartListener = BodyPartListener.NONE,
+        val parts: BodyPartListener = BodyPartListener.NONE,
     ) {
         val sendState = SendState(::encodePrepared)
 
@@ -101,7 +101,7 @@
         var reusable = false
         try {
             if (!connection.write(call.sendState)) return if (call.sendState.isWithdrawn) call.withdrawn() else null
-            return when (val read = connection.read(call.request.method, call.expectedRequestId, call.onPart)) {
+            return when (val read = connection.read(call.request.method, call.expectedRequestId, call.parts)) {
                 is ResponseRead.Broken -> HttpResult.Unknown("${call.address}: ${read.reason}")
                 is ResponseRead.Complete -> {
                     reusable = read.reusable
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/TransferLimits.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/TransferLimits.kt
@@ -31,10 +31,10 @@
     }
 }
 
-/** Tracks how far a response with [limits] has arrived. Passes the parts of its body on to [onPart]. */
+/** Tracks how far a response with [limits] has arrived. Passes the parts of its body on to [parts]. */
 internal class TransferProgress(
     private val limits: TransferLimits,
-    private val onPart: BodyPartListener,
+    private val parts: BodyPartListener,
     private val nowMs: () -> Long = { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) },
 ) {
     private val begun = CompletableDeferred<Long>()
@@ -45,7 +45,7 @@
     fun recordPart(status: Int, bytes: ByteArray) {
         lastPartAtMs = nowMs()
         begun.complete(lastPartAtMs)
-        onPart.onPart(status, bytes)
+        parts.onPart(status, bytes)
     }
 
     /** Returns the result of [transfer], or null if it exceeds one of the limits and was cancelled. */
