--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -312,6 +312,7 @@
 
     private fun registerGauges() {
         meters.gauge("yuccaflow.config.version") { operators.table?.version ?: 0 }
+        meters.gauge("yuccaflow.config.rejected.entries") { operators.table?.rejected?.size ?: 0 }
         meters.gauge("yuccaflow.routers") { clusterState.memberCount }
         meters.gauge("yuccaflow.planner") { if (authority.isRecordedPlanner) 1 else 0 }
         meters.gauge("yuccaflow.event.loop.delay.seconds") { eventLoopMonitor.delayMs / MS_PER_S }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
@@ -73,8 +73,22 @@
             put("previous_version", currentVersion)
             put("routes", candidate.routes.size)
             put("services", candidate.services.size)
+            put("rejected_entries", candidate.rejected.size)
             put("written_within_ms", writtenAfterMs?.let { timer.nowMs() - it })
         }
+        candidate.rejected.take(MAX_LOGGED_REJECTIONS).forEach { logRejected(candidate.version, it) }
+    }
+
+    private fun logRejected(version: Long, entry: RejectedEntry) {
+        val event = when (entry) {
+            is RejectedEntry.OfRoute -> Events.ROUTE_REJECTED
+            is RejectedEntry.OfService -> Events.SERVICE_REJECTED
+        }
+        events.log(event) {
+            put("version", version)
+            put("name", entry.name)
+            put("reason", entry.reason)
+        }
     }
 
     private fun emptyZone(zone: String, offset: Long, writtenAfterMs: Long?) {
@@ -93,4 +107,9 @@
         returnedAtMsByZone[zone] = timer.nowMs()
         events.log(Events.ZONE_RETURNED) { put("returned_zone", zone) }
     }
+
+    private companion object {
+        /** Bounds the log of a table in which many entries are invalid. The total is in the line of the table. */
+        const val MAX_LOGGED_REJECTIONS = 20
+    }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RouteFinder.kt
@@ -47,13 +47,18 @@
     suspend fun find(requestId: String, host: String, path: String): RouteLookup {
         awaitFresh()
         val table = operators.table ?: return RouteLookup.Unknown("no routing table is known yet")
-        if (tableFreshness.isOutdated(MAX_VIEW_AGE_MS)) return unrouted(requestId, table, "the routing table is out of date")
-        if (targetsFreshness.isOutdated(MAX_VIEW_AGE_MS)) return unrouted(requestId, table, "the targets' entries are out of date")
+        reasonToRefuse(table, host, path)?.let { return unrouted(requestId, table, it) }
         table.match(host, path)?.let { return RouteLookup.Found(table, it) }
         if (tableFreshness.isFresh(MAX_VIEW_AGE_MS)) return RouteLookup.NoRoute
         return unrouted(requestId, table, "the routing table may be out of date")
     }
 
+    private fun reasonToRefuse(table: RoutingTable, host: String, path: String): String? = when {
+        tableFreshness.isOutdated(MAX_VIEW_AGE_MS) -> "the routing table is out of date"
+        targetsFreshness.isOutdated(MAX_VIEW_AGE_MS) -> "the targets' entries are out of date"
+        else -> table.matchRejected(host, path)?.let { "the route ${it.name} is invalid" }
+    }
+
     private fun unrouted(requestId: String, table: RoutingTable, reason: String): RouteLookup {
         events.log(Events.REQUEST_UNROUTED) {
             put("request", requestId)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -22,6 +22,8 @@
 
     const val CONFIG_APPLIED = "config_applied"
     const val CONFIG_REJECTED = "config_rejected"
+    const val ROUTE_REJECTED = "route_rejected"
+    const val SERVICE_REJECTED = "service_rejected"
     const val ZONE_EMPTIED = "zone_emptied"
     const val ZONE_RETURNED = "zone_returned"
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
@@ -7,6 +7,7 @@
 import yuccaflow.entry.balance.TargetChooser
 import yuccaflow.entry.config.CallerLimits
 import yuccaflow.entry.config.OperatorState
+import yuccaflow.entry.config.RejectedEntry
 import yuccaflow.entry.config.RequestKind
 import yuccaflow.entry.config.Route
 import yuccaflow.entry.config.RoutingTable
@@ -44,6 +45,7 @@
                 persistentListOf(route("read", RequestKind.IDEMPOTENT), route("book", RequestKind.NON_IDEMPOTENT)),
                 persistentMapOf("s" to FakeRecords.serviceConfig("s")),
                 CallerLimits(8_192, 65_536, 1_000, 1_000),
+                persistentListOf(RejectedEntry.OfRoute("odd", "h", "/read/odd/", "invalid")),
             ),
         )
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RouteFinderTest.kt
@@ -44,6 +44,20 @@
         }
     }
 
+    @Nested
+    @DisplayName("for a path with an invalid route")
+    inner class PathWithInvalidRoute : RequestRouterFixture() {
+        /** Guards against requests that run as a route with a shorter prefix says, and against a 404 for a route that is there. */
+        @Test
+        fun `refuses the request as not run`() = runTest {
+            freshness.freshAtMs = timer.now
+            val response = handleRequest("/read/odd/x")
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers["Retry-After"]).isNotNull()
+            expectThat(sent).isEmpty()
+        }
+    }
+
     @Nested
     @DisplayName("for a path with a route")
     inner class PathWithRoute : RequestRouterFixture() {
