Treat a full target's refusal as load, not as failure, under load control

A request that was not run, with a load report that shows no free slot, no longer counts toward suspicion or the failure share. With free slots or without a report it counts as before.

A new load report counts the more the older the last one is. Without load control both are unchanged.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/LoadReport.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/LoadReport.kt
@@ -13,4 +13,7 @@
     val waiting: Int,
     val slots: Int,
     val slowdown: Double?,
-)
+) {
+    /** Whether all slots are taken. A target that turns a request away in this state is full, and has not failed. */
+    val showsNoFreeSlot: Boolean get() = running >= slots
+}
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -131,12 +131,17 @@
     /** Returns the last reported slowdown, which decays to 1 as the report ages. */
     fun slowdown(nowMs: Long): Double = 1 + (reportedSlowdown - 1) * decayFactor(nowMs - loadReportedAtMs, SLOWDOWN_DECAY_MS)
 
-    /** Records the load that the target reported with a response. */
-    fun recordLoad(load: LoadReport, nowMs: Long) {
+    /**
+     * Records the load that the target reported with a response. If [weighsByAge], a new report counts the more the older the last one is.
+     * A fixed weight underestimates the load of a target from which this router gets reports only every few seconds.
+     */
+    fun recordLoad(load: LoadReport, nowMs: Long, weighsByAge: Boolean = false) {
         reportedSlowdown = load.slowdown ?: 1.0
         val others = max(0, load.running + load.waiting - inFlight).toDouble()
-        val before = otherRoutersLoad * decayFactor(nowMs - loadReportedAtMs, OTHER_ROUTERS_LOAD_DECAY_MS)
-        otherRoutersLoad = before + LOAD_SMOOTHING * (others - before)
+        val freshness = decayFactor(nowMs - loadReportedAtMs, OTHER_ROUTERS_LOAD_DECAY_MS)
+        val before = otherRoutersLoad * freshness
+        val weight = if (weighsByAge) 1 - (1 - LOAD_SMOOTHING) * freshness else LOAD_SMOOTHING
+        otherRoutersLoad = before + weight * (others - before)
         loadReportedAtMs = nowMs
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -8,6 +8,7 @@
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.RequestKind
 import yuccaflow.entry.config.Route
+import yuccaflow.entry.config.RoutingTable
 import yuccaflow.entry.config.ServiceConfig
 import yuccaflow.entry.config.ServiceShare
 import yuccaflow.entry.directory.TargetDirectory
@@ -65,7 +66,7 @@
         val route: Route,
         val serviceConfig: ServiceConfig,
         val key: Int?,
-        val tableVersion: Long,
+        val table: RoutingTable,
         val startedAtMs: Long,
         val deadlineAtMs: Long,
     ) {
@@ -102,7 +103,7 @@
         val callerTimeoutMs = request.headers[names.deadlineMs]?.toLongOrNull() ?: route.timeoutMs
         val deadlineAtMs = startedAtMs + minOf(callerTimeoutMs - RESPONSE_TRANSIT_MS, route.timeoutMs)
         val exchange =
-            Exchange(id, request, route, serviceConfig, key.takeIf { serviceConfig.isKeyed }, table.version, startedAtMs, deadlineAtMs)
+            Exchange(id, request, route, serviceConfig, key.takeIf { serviceConfig.isKeyed }, table, startedAtMs, deadlineAtMs)
         dependencies.retryBudgetOf(service).deposit(timer.nowMs())
         if (exchange.key != null) dependencies.recordKey(service, exchange.key)
         return serve(exchange).also { recordMetrics(exchange, it) }
@@ -219,7 +220,7 @@
 
     private fun recordNotice(exchange: Exchange, target: TargetState, notice: TargetNotice, sentAtMs: Long) {
         val nowMs = timer.nowMs()
-        notice.load?.let { target.recordLoad(it, nowMs) }
+        notice.load?.let { target.recordLoad(it, nowMs, weighsByAge = exchange.table.hasLoadControl) }
         recordPause(exchange, target, notice.pause)
         if (!notice.isLeaving || target.saysItLeaves) return
         dependencies.directory.recordLeaving(target, sentAtMs, exchange.id)
@@ -250,8 +251,7 @@
                 recordFailure(target, isUnreachable = true, result.reason)
             }
             NotRunCause.OTHER_INSTANCE -> recordFailure(target, isUnreachable = true, result.reason)
-            // A target that asks for a pause is in order. It gets no requests until the pause is over anyway.
-            NotRunCause.SHED -> if (result.notice?.pause !is PauseRequest.Pause) recordFailure(target, isUnreachable = false, result.reason)
+            NotRunCause.SHED -> if (!isInOrder(exchange, result.notice)) recordFailure(target, isUnreachable = false, result.reason)
             NotRunCause.NOT_OWNER -> {
                 exchange.key?.let { dependencies.keyOwnerChooser.recordNotOwner(exchange.serviceConfig.name, it, target) }
                 timer.sleep(OWNER_CHANGE_DELAY_MS)
@@ -267,6 +267,13 @@
         return null
     }
 
+    /**
+     * Returns whether a target that has turned a request away with [notice] is in order: it asks for a pause, in which it gets no requests
+     * anyway, or it is full. A full owner that counts as failed would get suspected, and all of its keys refused although it serves them.
+     */
+    private fun isInOrder(exchange: Exchange, notice: TargetNotice?): Boolean =
+        notice?.pause is PauseRequest.Pause || (exchange.table.hasLoadControl && notice?.load?.showsNoFreeSlot == true)
+
     /** Returns when a request that only [target] can run may come back: not before its pause is over. */
     private fun retryAfterMs(target: TargetState): Long {
         val restMs = target.pauseRestMs(timer.nowMs())
@@ -329,7 +336,7 @@
         put("request", exchange.id)
         put("route", exchange.route.name)
         put("service", exchange.serviceConfig.name)
-        put("config_version", exchange.tableVersion)
+        put("config_version", exchange.table.version)
         put("key", exchange.key)
         put("outcome", outcome)
         put("elapsed_ms", nowMs - exchange.startedAtMs)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
@@ -17,6 +17,7 @@
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.fake.FakeFreshness
 import yuccaflow.entry.fake.FakeRecords
+import yuccaflow.entry.fake.KEYED_SERVICE
 import yuccaflow.entry.fake.ManualTimer
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.keys.ClusterState
@@ -38,12 +39,23 @@
     protected var results: (Int) -> HttpResult = { served() }
     protected var waitForConnection: (SocketAddress) -> Unit = { }
 
-    private object FixedTableDecoder : RecordDecoder by FakeRecords {
+    /** Whether the routing table has a route for large transfers, which enables load control. */
+    protected var hasLoadControl = false
+
+    private val decoder = object : RecordDecoder by FakeRecords {
         override fun decodeOperatorRecord(key: String, value: ByteArray?): OperatorRecord = OperatorRecord.Table(
             RoutingTable(
                 1,
-                persistentListOf(route("read", RequestKind.IDEMPOTENT), route("book", RequestKind.NON_IDEMPOTENT)),
-                persistentMapOf("s" to FakeRecords.serviceConfig("s")),
+                persistentListOf(
+                    route("read", RequestKind.IDEMPOTENT),
+                    route("book", RequestKind.NON_IDEMPOTENT),
+                    route("files", RequestKind.IDEMPOTENT).copy(isLargeTransfer = hasLoadControl),
+                    route("keyed", RequestKind.IDEMPOTENT).copy(shares = persistentListOf(ServiceShare(KEYED_SERVICE, 1.0))),
+                ),
+                persistentMapOf(
+                    "s" to FakeRecords.serviceConfig("s"),
+                    KEYED_SERVICE to FakeRecords.serviceConfig(KEYED_SERVICE, isKeyed = true),
+                ),
                 CallerLimits(8_192, 65_536, 1_000, 1_000),
                 persistentListOf(RejectedEntry.OfRoute("odd", "h", "/read/odd/", "invalid")),
             ),
@@ -72,15 +84,16 @@
 
     protected val freshness = FakeFreshness(timer)
     protected val targetsFreshness = FakeFreshness(timer)
-    protected val operators = OperatorState(FixedTableDecoder, timer, log)
-    protected val directory = TargetDirectory(FixedTableDecoder, operators, timer, log) { null }
+    protected val operators = OperatorState(decoder, timer, log)
+    protected val directory = TargetDirectory(decoder, operators, timer, log) { null }
     private val chooser = TargetChooser(directory, "a", timer, ColdStartLimiter("n", ColdStartLimits(1.5, 5.0), operators) { setOf("n") })
+    protected val clusterState = ClusterState(timer, log)
     protected val router = RequestRouter(
         RoutingDependencies(
             RouteFinder(operators, freshness, targetsFreshness, timer, log),
             directory,
             chooser,
-            KeyOwnerChooser(ClusterState(timer, log), directory, operators, chooser, timer) { },
+            KeyOwnerChooser(clusterState, directory, operators, chooser, timer) { },
             TargetClient(client, names),
             { budget },
             { _, _ -> },
@@ -107,6 +120,10 @@
 
     protected fun shed() = HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1")))
 
+    /** A target's refusal with the load report `running,waiting,slots`. */
+    protected fun shedWithLoad(load: String) =
+        HttpResult.Answered(HttpResponse(503, headersOf(names.notRun to "1", names.load to load)))
+
     protected suspend fun handleRequest(path: String, targets: Int = 3, deadlineMs: Long = 900): HttpResponse {
         operators.onSnapshot(listOf(KeyedRecord("table", ByteArray(0), 0)), 1)
         val entries = List(targets) { FakeRecords.targetChange(FakeRecords.entry("t$it", it + 1, service = "s")) }
