Probe targets whose estimate rests on old answers, and try the rest of the targets when a sample is full

A service time is learned from answers only. A router whose estimate exceeded every caller's remaining time would never send to that target again. One request in a second is let through as long as nothing waits there. A request is refused only if neither the best target of the sample nor the best of the others admits it, because at a mean utilisation of 0.4 some target is nearly always free.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionControl.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionControl.kt
@@ -13,6 +13,7 @@
         /** By latency objective, because the routes of a service may differ in it. */
         val detectors = HashMap<Long, OverloadDetector>()
         val shares = PriorityShares()
+        var admittedAtMs = 0L
     }
 
     private val records = object : LinkedHashMap<String, TargetRecord>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
@@ -22,10 +23,19 @@
     /** The places of refused callers that may return. */
     val retryPlaces = RetryPlaces()
 
-    /** Decides whether [target] should get a request of [route] that is expected to be answered as in [estimate]. */
+    /**
+     * Decides whether [target] should get a request of [route] that is expected to be answered as in [estimate].
+     *
+     * The service time is learned from answers. If it alone is longer than the remaining time, a request is admitted now and then
+     * nevertheless, because without new answers the estimate would never change.
+     */
     fun decide(target: String, estimate: AnswerEstimate, route: Route, remainingMs: Long, nowMs: Long): AdmissionDecision {
-        val isOverloaded = observeQueue(target, estimate, route, nowMs)
-        return AdmissionPolicy.admit(estimate, route, remainingMs, Pressure(isOverloaded, isBelowFloor(target, route.priority)))
+        val pressure = Pressure(observeQueue(target, estimate, route, nowMs), isBelowFloor(target, route.priority))
+        val decision = AdmissionPolicy.admit(estimate, route, remainingMs, pressure)
+        val isProbe = decision.result == AdmissionResult.TOO_LATE &&
+            estimate.queueMs <= 0 &&
+            nowMs - recordOf(target).admittedAtMs >= PROBE_INTERVAL_MS
+        return if (isProbe) AdmissionDecision(AdmissionResult.ADMITTED_AS_PROBE, estimate, decision.limitMs) else decision
     }
 
     /** Returns whether [priority] has had less than its floor of the recent requests to [target]. */
@@ -36,11 +46,17 @@
         recordOf(target).detectors.getOrPut(route.objectiveMs) { OverloadDetector(route.objectiveMs) }.observe(estimate.queueMs, nowMs)
 
     /** Records that [target] gets an admitted request. */
-    fun recordAdmitted(target: String, route: Route, nowMs: Long) = recordOf(target).shares.record(route.priority, nowMs)
+    fun recordAdmitted(target: String, route: Route, nowMs: Long) {
+        val record = recordOf(target)
+        record.shares.record(route.priority, nowMs)
+        record.admittedAtMs = nowMs
+    }
 
     private fun recordOf(target: String) = records.getOrPut(target) { TargetRecord() }
 
     private companion object {
+        /** A target that is three times slower is so for moments only. */
+        const val PROBE_INTERVAL_MS = 1_000L
         const val MAX_TARGETS = 500
         const val INITIAL_CAPACITY = 16
         const val LOAD_FACTOR = 0.75f
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionDecision.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionDecision.kt
@@ -15,6 +15,9 @@
     /** The queue is beyond the limit of the request's priority, but the priority has had less than its floor. */
     ADMITTED_BY_FLOOR(null),
 
+    /** The answer is expected after the deadline, but only because of old answers. */
+    ADMITTED_AS_PROBE(null),
+
     /** The answer is expected after the deadline. */
     TOO_LATE("the target is not expected to answer in time"),
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -55,7 +55,11 @@
     val remainingMs: Long,
     val requestId: String = "",
     val hasLoadControl: Boolean = false,
-)
+) {
+    /** Returns the input after the request has waited for [elapsedMs]. Without load control a wait does not count. */
+    fun afterWait(elapsedMs: Long): ChoiceContext =
+        if (hasLoadControl) ChoiceContext(route, serviceConfig, excluded, remainingMs - elapsedMs, requestId, true) else this
+}
 
 /**
  * The callers that wait for the same capacity.
@@ -95,12 +99,22 @@
                 it.pauseAllowsRequest(nowMs) &&
                 coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
         }
-        val candidates = if (context.hasLoadControl) sample(eligible) else eligible
-        val best = candidates.minByOrNull { score(it, context, nowMs) }
+        val best = (if (context.hasLoadControl) bestOfSample(eligible, context, nowMs) else bestOf(eligible, context, nowMs))
             ?: return TargetChoice.None("all targets are suspected, paused, cold or have been tried", NO_TARGET_RETRY_AFTER_MS)
         return admit(best, context, nowMs, serviceQueue(context, eligible.size))
     }
 
+    private fun bestOf(eligible: List<TargetState>, context: ChoiceContext, nowMs: Long): TargetState? =
+        eligible.minByOrNull { score(it, context, nowMs) }
+
+    /** Returns the best target of a sample, or of the rest if none of the sample admits the request, or null if none is [eligible]. */
+    private fun bestOfSample(eligible: List<TargetState>, context: ChoiceContext, nowMs: Long): TargetState? {
+        val sampled = sample(eligible)
+        val best = bestOf(sampled, context, nowMs) ?: return null
+        if (decide(best, context, nowMs).result.isAdmitted) return best
+        return bestOf(eligible - sampled.toSet(), context, nowMs) ?: best
+    }
+
     /**
      * Returns some random targets: at least [MIN_SAMPLE] if there are so many. Half of them are from this zone if possible, because a sample
      * without a target of this zone would cause traffic between zones without need.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/KeyOwnerChooser.kt
@@ -59,7 +59,7 @@
                 val refusal = waitForPause(owner, context, startedAtMs)
                 if (refusal == null) continue else return refusal
             }
-            if (owner != null && owner.suspectedUntilMs <= nowMs) return chooser.admit(owner, context, nowMs)
+            if (owner != null && owner.suspectedUntilMs <= nowMs) return chooser.admit(owner, context.afterWait(nowMs - startedAtMs), nowMs)
             val waitUntilMs = minOf(ownerExpectedAtMs(assignment, startedAtMs), startedAtMs + context.remainingMs / WAIT_DIVISOR)
             if (nowMs >= waitUntilMs) return TargetChoice.None(reasonFor(assignment, owner), NO_OWNER_RETRY_AFTER_MS)
             timer.sleep(POLL_INTERVAL_MS)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -181,7 +181,13 @@
                 feedback.recordFailure(target, isUnreachable = true, result.reason)
             }
             NotRunCause.OTHER_INSTANCE -> feedback.recordFailure(target, isUnreachable = true, result.reason)
-            NotRunCause.SHED -> if (!feedback.isInOrder(exchange, result.notice)) feedback.recordFailure(target, isUnreachable = false, result.reason)
+            NotRunCause.SHED -> if (!feedback.isInOrder(
+                    exchange,
+                    result.notice,
+                )
+            ) {
+                feedback.recordFailure(target, isUnreachable = false, result.reason)
+            }
             NotRunCause.NOT_OWNER -> {
                 exchange.key?.let { dependencies.keyOwnerChooser.recordNotOwner(exchange.serviceConfig.name, it, target) }
                 timer.sleep(OWNER_CHANGE_DELAY_MS)
@@ -193,7 +199,16 @@
             exchange.tried += target
             return null
         }
-        return if (acquireRetry(exchange, target, result.reason)) null else selector.refuseAfter(exchange, target, result, isLastTarget = false)
+        return if (acquireRetry(
+                exchange,
+                target,
+                result.reason,
+            )
+        ) {
+            null
+        } else {
+            selector.refuseAfter(exchange, target, result, isLastTarget = false)
+        }
     }
 
     private fun unknown(exchange: Exchange, target: TargetState, result: TargetResult.Unknown): HttpResponse? {
