--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionControl.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionControl.kt
@@ -26,14 +26,15 @@
     /**
      * Decides whether [target] should get a request of [route] that is expected to be answered as in [estimate].
      *
-     * The service time is learned from answers. If it alone is longer than the remaining time, a request is admitted now and then
-     * nevertheless, because without new answers the estimate would never change.
+     * The service time is learned from answers. If it alone is longer than the remaining time, a request with ample time is admitted now
+     * and then nevertheless, because without new answers the estimate would never change.
      */
     fun decide(target: String, estimate: AnswerEstimate, route: Route, remainingMs: Long, nowMs: Long): AdmissionDecision {
         val pressure = Pressure(observeQueue(target, estimate, route, nowMs), isBelowFloor(target, route.priority))
         val decision = AdmissionPolicy.admit(estimate, route, remainingMs, pressure)
         val isProbe = decision.result == AdmissionResult.TOO_LATE &&
             estimate.queueMs <= 0 &&
+            remainingMs >= route.objectiveMs &&
             nowMs - recordOf(target).admittedAtMs >= PROBE_INTERVAL_MS
         return if (isProbe) AdmissionDecision(AdmissionResult.ADMITTED_AS_PROBE, estimate, decision.limitMs) else decision
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionPolicy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/AdmissionPolicy.kt
@@ -45,7 +45,7 @@
         return AdmissionDecision(result, estimate, minOf(inTimeMs, objectiveMs, queueMs))
     }
 
-    /** Returns the share of the queue that [priority] may use: all of it for 0, and less for lower priorities, which have higher numbers. */
+    /** Returns the share of the queue that [priority] may use: all of it for 0, and less for higher numbers, which are lower priorities. */
     fun queueShare(priority: Int): Double = (1 - priority.coerceAtLeast(0) * PRIORITY_STEP).coerceAtLeast(PRIORITY_FLOOR)
 
     private fun queueLimitMs(route: Route, share: Double) = route.objectiveMs * QUEUE_LIMIT_FACTOR * share
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/OverloadDetector.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/OverloadDetector.kt
@@ -1,8 +1,8 @@
 package yuccaflow.entry.admission
 
 /**
- * Tells whether a target is overloaded for requests with one latency objective: its queueing delay has been above a target delay for a whole
- * interval (CoDel's rule). A shorter queue is a burst, which drains by itself.
+ * Tells whether a target is overloaded for requests with one latency objective: its queueing delay has been above a target delay for a
+ * whole interval (CoDel's rule). A shorter queue is a burst, which drains by itself.
  *
  * A router sees few of the requests of a target, so it cannot observe the delay all the time. Observations that are further apart than
  * [MAX_GAP_INTERVALS] intervals begin a new interval.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -62,7 +62,7 @@
 }
 
 /**
- * The callers that wait for the same capacity.
+ * Refused callers that wait for the same capacity.
  *
  * @property targets number of targets whose capacity it is.
  */
@@ -99,8 +99,8 @@
                 it.pauseAllowsRequest(nowMs) &&
                 coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
         }
-        val best = (if (context.hasLoadControl) bestOfSample(eligible, context, nowMs) else bestOf(eligible, context, nowMs))
-            ?: return TargetChoice.None("all targets are suspected, paused, cold or have been tried", NO_TARGET_RETRY_AFTER_MS)
+        val best = if (context.hasLoadControl) bestOfSample(eligible, context, nowMs) else bestOf(eligible, context, nowMs)
+        if (best == null) return TargetChoice.None("all targets are suspected, paused, cold or have been tried", NO_TARGET_RETRY_AFTER_MS)
         return admit(best, context, nowMs, serviceQueue(context, eligible.size))
     }
 
@@ -116,8 +116,8 @@
     }
 
     /**
-     * Returns some random targets: at least [MIN_SAMPLE] if there are so many. Half of them are from this zone if possible, because a sample
-     * without a target of this zone would cause traffic between zones without need.
+     * Returns some random targets: at least [MIN_SAMPLE] if there are so many. Half of them are from this zone if possible, because a
+     * sample without a target of this zone would cause traffic between zones without need.
      */
     private fun sample(eligible: List<TargetState>): List<TargetState> {
         val shuffled = eligible.shuffled(random)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -181,13 +181,7 @@
                 feedback.recordFailure(target, isUnreachable = true, result.reason)
             }
             NotRunCause.OTHER_INSTANCE -> feedback.recordFailure(target, isUnreachable = true, result.reason)
-            NotRunCause.SHED -> if (!feedback.isInOrder(
-                    exchange,
-                    result.notice,
-                )
-            ) {
-                feedback.recordFailure(target, isUnreachable = false, result.reason)
-            }
+            NotRunCause.SHED -> feedback.recordShed(exchange, target, result)
             NotRunCause.NOT_OWNER -> {
                 exchange.key?.let { dependencies.keyOwnerChooser.recordNotOwner(exchange.serviceConfig.name, it, target) }
                 timer.sleep(OWNER_CHANGE_DELAY_MS)
@@ -199,16 +193,8 @@
             exchange.tried += target
             return null
         }
-        return if (acquireRetry(
-                exchange,
-                target,
-                result.reason,
-            )
-        ) {
-            null
-        } else {
-            selector.refuseAfter(exchange, target, result, isLastTarget = false)
-        }
+        if (!acquireRetry(exchange, target, result.reason)) return selector.refuseAfter(exchange, target, result, isLastTarget = false)
+        return null
     }
 
     private fun unknown(exchange: Exchange, target: TargetState, result: TargetResult.Unknown): HttpResponse? {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
@@ -48,11 +48,14 @@
     }
 
     /**
-     * Returns whether a target that has turned a request away with [notice] is in order: it asks for a pause, in which it gets no requests
-     * anyway, or it is full. A full owner that counts as failed would get suspected, and all of its keys refused although it serves them.
+     * Records that [target] has turned a request away. That is no failure if the target asks for a pause, in which it gets no requests
+     * anyway, or if it is full. A full owner that counts as failed would get suspected, and all of its keys refused although it serves them.
      */
-    fun isInOrder(exchange: Exchange, notice: TargetNotice?): Boolean =
-        notice?.pause is PauseRequest.Pause || (exchange.table.hasLoadControl && notice?.showsFullTarget == true)
+    fun recordShed(exchange: Exchange, target: TargetState, result: TargetResult.NotRun) {
+        val isFull = exchange.table.hasLoadControl && result.notice?.showsFullTarget == true
+        if (isFull || result.notice?.pause is PauseRequest.Pause) return
+        recordFailure(target, isUnreachable = false, result.reason)
+    }
 
     /** Records a failure of [target]. */
     fun recordFailure(target: TargetState, isUnreachable: Boolean, reason: String) {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/LoadControlledChoiceTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/LoadControlledChoiceTest.kt
@@ -91,6 +91,14 @@
         expectThat(refusals.map { it.retryAfterMs - refusals[0].retryAfterMs }).isEqualTo(listOf(0L, 50L, 100L))
     }
 
+    /** Guards against work for a caller that no longer waits, at a target that this router has not asked for long. */
+    @Test
+    fun `refuses a request with little time left`() {
+        addTargets(1)
+        timer.now += 60_000
+        expectThat((choose(remainingMs = 100) as? TargetChoice.None)?.decision?.result).isEqualTo(AdmissionResult.TOO_LATE)
+    }
+
     /** Guards against a target that is never asked again because it was slow once. */
     @Test
     fun `lets one request through in a while if only old answers are too slow`() {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/FullTargetTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/FullTargetTest.kt
@@ -1,12 +1,17 @@
 package yuccaflow.entry.routing
 
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
 import strikt.assertions.isNotNull
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.KEYED_SERVICE
@@ -59,6 +64,20 @@
         expectThat(log.count(Events.TARGET_SUSPECTED)).isGreaterThan(0)
     }
 
+    /** Guards against a refusal whose cause cannot be found, and against a place that the response does not tell exactly. */
+    @Test
+    fun `names the decision and its inputs, and tells the caller its place`() = runTest {
+        results = { shedWithLoad("4,20,4") }
+        val response = handleKeyed(times = 1)
+        val fields = log.events.last { it.first == Events.REQUEST_REFUSED }.second
+        expectThat(fields["decision"]).isEqualTo(JsonPrimitive("full_at_target"))
+        expectThat(fields.keys).contains("expected_ms", "queue_ms", "limit_ms", "retry_after_ms")
+        val retryAfterMs = fields.getValue("retry_after_ms").jsonPrimitive.long
+        expectThat(retryAfterMs).isIn(50L..300L)
+        expectThat(response.headers["Retry-After"]?.toDoubleOrNull()).isEqualTo(retryAfterMs / 1_000.0)
+        expectThat(meters.scrape()).contains("yuccaflow_admission_total{decision=\"full_at_target\"")
+    }
+
     /** Guards against a change of behaviour where load control is not in force. */
     @Test
     fun `suspects it without load control, as before`() = runTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterFixture.kt
@@ -87,6 +87,7 @@
     protected val operators = OperatorState(decoder, timer, log)
     protected val directory = TargetDirectory(decoder, operators, timer, log) { null }
     private val chooser = TargetChooser(directory, "a", timer, ColdStartLimiter("n", ColdStartLimits(1.5, 5.0), operators) { setOf("n") })
+    protected val meters = RouterMeters("n", "a")
     protected val clusterState = ClusterState(timer, log)
     protected val router = RequestRouter(
         RoutingDependencies(
@@ -97,7 +98,7 @@
             TargetClient(client, names),
             { budget },
             { _, _ -> },
-            RouterMeters("n", "a"),
+            meters,
             { readDelayMs },
             { drainEndsAtMs },
         ),
