Spread hot keys over many targets in one balancing round under load control

Cause: the planner makes at most three moves in a round and none while a range of the service moves. With 35% of the requests on 200 adjacent keys, the hottest of 122 targets of speeds 0.6, 1.0 and 1.4 stays far above the mean for the whole hot phase.

Change: under load control, KeyLoadSpreader plans the round. It is bounded by 16 moves and a 32nd of the keys, leaves moving ranges alone, fills several receivers to a common level, prefers narrow cuts, and lets the neighbours of a key leave that exceeds its owner's capacity. RecentMoves keeps keys from moving back to a former owner for 5 s. Without load control the decisions are unchanged.

KeyRangeBalancerTest, KeyLoadSpreaderTest, PlannerBalancingTest and ExclusiveOwnershipTest pass.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -54,8 +54,14 @@
     private val confirmedMoves = HashSet<Assignment>()
     private val observedHolders = HashMap<String, Pair<Set<TargetIncarnation>, Long>>()
     private var balancedAtMs = 0L
+    private val spreadAtMs = HashMap<String, Long>()
+    private val recentMoves = RecentMoves(timer)
     private var hasResigned = false
 
+    /** The number of moves that this router has planned to balance load. */
+    var balanceMoveCount = 0L
+        private set
+
     init {
         clusterState.onChange { wakeUp.trySend(Unit) }
     }
@@ -121,16 +127,49 @@
         confirmedMoves.retainAll(current.toSet() + confirmedMoves.filter { it.service != service })
         confirmedMoves.filter { it.service == service }.forEach(batch::confirm)
         grantManager.fencedAssignments().filter { it.service == service }.forEach(batch::renewGeneration)
-        val balancer = KeyRangeBalancer(service, targets, current, dependencies.loads.windowOf(service).sortedKeys(), busyLoad())
-        val necessary = balancer.necessaryMoves()
-        val moves = necessary.ifEmpty { balancingMoves(balancer) }
+        val sample = dependencies.loads.windowOf(service).sortedKeys()
+        val balancer = KeyRangeBalancer(service, targets, current, sample, busyLoad())
+        val moves = balancer.necessaryMoves().ifEmpty {
+            if (hasLoadControl()) {
+                spreadingMoves(service) { KeyLoadSpreader(service, targets, current, sample, busyLoad(), recentMoves) }
+            } else {
+                balancingMoves(balancer)
+            }
+        }
         moves.forEach(batch::move)
         return append(batch)
     }
 
+    private fun hasLoadControl(): Boolean = dependencies.operators.table?.hasLoadControl == true
+
     private fun balancingMoves(balancer: KeyRangeBalancer): List<KeyMove> {
         if (!mayMoveKeys() || timer.nowMs() - balancedAtMs < settings.minBalanceIntervalMs) return emptyList()
-        return balancer.balancingMoves().also { if (it.isNotEmpty()) balancedAtMs = timer.nowMs() }
+        val moves = balancer.balancingMoves()
+        if (moves.isEmpty()) return moves
+        balancedAtMs = timer.nowMs()
+        balanceMoveCount += moves.size
+        return moves
+    }
+
+    /** Returns the moves of a round of [service] under load control, and records them. [spreader] is called only when a round is due. */
+    private fun spreadingMoves(service: String, spreader: () -> KeyLoadSpreader): List<KeyMove> {
+        val lastMs = spreadAtMs[service]
+        if (!mayMoveKeys() || lastMs != null && timer.nowMs() - lastMs < settings.minBalanceIntervalMs) return emptyList()
+        val round = spreader().round()
+        if (round.moves.isEmpty()) return emptyList()
+        spreadAtMs[service] = timer.nowMs()
+        round.moves.forEach(recentMoves::add)
+        balanceMoveCount += round.moves.size
+        logRound(service, round)
+        return round.moves
+    }
+
+    private fun logRound(service: String, round: BalanceRound) = events.log(Events.BALANCE_ROUND) {
+        put("service", service)
+        put("moves", round.moves.size)
+        put("key_share", round.movedKeyShare)
+        put("hottest_before", round.hottestBefore)
+        put("hottest_after", round.hottestAfter)
     }
 
     /**
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyRangeBalancer.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyRangeBalancer.kt
@@ -33,14 +33,14 @@
  *
  * Load is measured in the requests of [sample]. The relative load of a target is its load divided by its weight.
  *
- * @property sample the sorted keys of recent requests.
+ * @param sample the sorted keys of recent requests.
  * @property busyLoad the relative load above which a target counts as busy. Targets below it keep their keys, however uneven the load is.
  */
 internal class KeyRangeBalancer(
     private val service: String,
     private val targets: List<CandidateTarget>,
     assignments: List<Assignment>,
-    private val sample: IntArray,
+    sample: IntArray,
     private val busyLoad: Double,
 ) {
     private class Segment(
@@ -50,6 +50,7 @@
         val former: Assignment?,
     )
 
+    private val keyLoad = SampledKeyLoad(sample)
     private val targetByHolder = targets.associateBy { it.holder }
     private val current = assignments.sortedBy { it.from }
     private val load = HashMap<TargetIncarnation, Double>()
@@ -173,26 +174,9 @@
         load.merge(holder, amount, Double::plus)
     }
 
-    /** Returns the load of the keys [from]..[to]: the sampled requests, and a baseline in proportion to the width of the range. */
-    private fun loadOf(from: Int, to: Int): Double {
-        val sampled = samplesUpTo(to) - samplesUpTo(from - 1)
-        return sampled + (to - from + 1) * BASELINE_REQUESTS / (LAST_KEY + 1)
-    }
-
-    /** Returns the number of samples with a key of at most [key]. */
-    private fun samplesUpTo(key: Int): Int {
-        var low = 0
-        var high = sample.size
-        while (low < high) {
-            val mid = (low + high) / 2
-            if (sample[mid] <= key) low = mid + 1 else high = mid
-        }
-        return low
-    }
+    private fun loadOf(from: Int, to: Int): Double = keyLoad.of(from, to)
 
     private companion object {
-        /** Requests that are assumed in addition to the sampled ones, spread evenly over the key space. */
-        const val BASELINE_REQUESTS = 10.0
         const val PIECES_PER_FAIR_LOAD = 3.0
 
         /** The ratio of a target's relative load to the mean above which keys are moved away from it. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -40,6 +40,7 @@
     const val PLANNER_CLAIMED = "planner_claimed"
     const val PLANNER_SEEN = "planner_seen"
     const val AUTHORITY_EXPIRED = "authority_expired"
+    const val BALANCE_ROUND = "balance_round"
     const val RANGE_ASSIGNED = "range_assigned"
     const val RANGE_RELEASED = "range_released"
     const val RANGE_GRANTED = "range_granted"
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeRecords.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeRecords.kt
@@ -3,8 +3,11 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import yuccaflow.entry.config.CallerLimits
+import yuccaflow.entry.config.RequestKind
+import yuccaflow.entry.config.Route
 import yuccaflow.entry.config.RoutingTable
 import yuccaflow.entry.config.ServiceConfig
+import yuccaflow.entry.config.ServiceShare
 import yuccaflow.entry.directory.OperatorRecord
 import yuccaflow.entry.directory.RecordDecoder
 import yuccaflow.entry.directory.TargetEntry
@@ -15,6 +18,9 @@
 
 internal const val KEYED_SERVICE = "keyed"
 
+/** Routing tables of this version and later ones have a route for uploads, which enables load control. */
+internal const val LOAD_CONTROL_VERSION = 1_000L
+
 /**
  * Decodes and builds records in a plain-text format: a routing table is its version, a target's entry its fields separated by spaces.
  */
@@ -36,11 +42,24 @@
 
     fun table(version: Long) = RoutingTable(
         version,
-        persistentListOf(),
+        if (version >= LOAD_CONTROL_VERSION) persistentListOf(uploadRoute()) else persistentListOf(),
         persistentMapOf(KEYED_SERVICE to serviceConfig(KEYED_SERVICE, isKeyed = true)),
         CallerLimits(8_192, 65_536, 1_000, 1_000),
     )
 
+    private fun uploadRoute() = Route(
+        name = "uploads",
+        host = "uploads.example",
+        pathPrefix = "/",
+        kind = RequestKind.NON_IDEMPOTENT,
+        timeoutMs = 1_000,
+        objectiveMs = 500,
+        attempts = 1,
+        priority = 0,
+        shares = persistentListOf(ServiceShare(KEYED_SERVICE, 1.0)),
+        isLargeTransfer = true,
+    )
+
     fun serviceConfig(name: String, isKeyed: Boolean = false) = ServiceConfig(name, "/health", 100, 3_000, 20.0, isKeyed)
 
     fun tableChange(version: Long) = KeyedChange("table", version.toString().toByteArray())
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
@@ -27,8 +27,9 @@
     val log = RecordingEventLog()
     private val timer = process
     private val settings = KeyOwnershipSettings()
+    val loads = KeyLoadTracker(timer)
     private val operators = OperatorState(FakeRecords, timer, log)
-    private val directory: TargetDirectory = TargetDirectory(FakeRecords, operators, timer, log) { targetsFollower.failedAtMs }
+    val directory: TargetDirectory = TargetDirectory(FakeRecords, operators, timer, log) { targetsFollower.failedAtMs }
     val clusterState = ClusterState(timer, log)
     private val operatorsFollower = StreamFollower(store, KeyedStream.OPERATORS, timer, log, operators) { FollowerSettings() }
     private val targetsFollower: StreamFollower =
@@ -52,7 +53,7 @@
             sameZoneRelease = { target, range ->
                 if (isPartitionedFrom(target.target)) null else targets.grantClient { false }.release(target, range, 1_000)
             },
-            loads = KeyLoadTracker(timer),
+            loads = loads,
         ),
         timer,
         settings,
