--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -270,6 +270,7 @@
             ::relayAddresses,
             relayClient,
             timer,
+            table = operators::table,
         )
 
     private fun requestRouter(): RequestRouter {
@@ -315,6 +316,7 @@
         meters.gauge("yuccaflow.config.rejected.entries") { operators.table?.rejected?.size ?: 0 }
         meters.gauge("yuccaflow.routers") { clusterState.memberCount }
         meters.gauge("yuccaflow.planner") { if (authority.isRecordedPlanner) 1 else 0 }
+        meters.counter("yuccaflow.balance.moves") { planner.balanceMoveCount }
         meters.gauge("yuccaflow.event.loop.delay.seconds") { eventLoopMonitor.delayMs / MS_PER_S }
         meters.gauge("yuccaflow.store.unreachable") { if (directStoreAccess.isAvailable) 0 else 1 }
         listOf(operatorsFollower, targetsFollower, clusterStateFollower).forEach { follower ->
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -61,6 +61,10 @@
     var failuresInARow = 0
         private set
 
+    /** The number of responses whose response time was recorded. */
+    var responseCount = 0L
+        private set
+
     private var otherRoutersLoad = 0.0
     private var loadReportedAtMs = seenAtMs
     private var reportedSlowdown = 1.0
@@ -144,6 +148,7 @@
     fun recordResponse(elapsedMs: Long, occupancy: Double) {
         val queueingFactor = max(1.0, occupancy / entry.slots)
         val sample = elapsedMs / queueingFactor
+        responseCount++
         serviceTimeMs = serviceTimeMs?.let { it + SERVICE_TIME_SMOOTHING * (sample - it) } ?: sample
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadTracker.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadTracker.kt
@@ -9,6 +9,9 @@
 internal class KeyLoadTracker(
     private val timer: TimerService,
 ) {
+    /** The service times of the targets. */
+    val serviceTimes = ServiceTimeTracker(timer)
+
     private val windows = HashMap<String, KeySampleWindow>()
     private val unreported = HashMap<String, ArrayList<Int>>()
     private val reportedAtMs = HashMap<String, Long>()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -219,19 +219,35 @@
     private fun targetsOf(service: String): List<CandidateTarget> {
         val nowMs = timer.nowMs()
         val states = dependencies.directory.ofService(service)
-        val known = states.mapNotNull { it.serviceTimeMsOrNull }
-        val typicalMs = if (known.isEmpty()) DEFAULT_SERVICE_TIME_MS else known.average()
+        val weights = weightsOf(states)
         val hasWarmTarget = states.any { mayOwnKeys(it) && it.coldUntilMs <= nowMs }
-        return states.map { state ->
+        return states.mapIndexed { index, state ->
             CandidateTarget(
                 holder = incarnationOf(state.entry),
-                weight = state.entry.slots / state.serviceTimeMs(typicalMs),
+                weight = weights[index],
                 mayGainKeys = mayOwnKeys(state) && (!hasWarmTarget || state.coldUntilMs <= nowMs) && state.removal == null,
                 mayKeepKeys = mayOwnKeys(state),
             )
         }
     }
 
+    /**
+     * Returns the weights of [states], which are proportional to their capacities. Under load control, the service times are the averages of
+     * all routers, or this router's own if there are none, and a recently reported slowdown counts. A target without any is typical.
+     */
+    private fun weightsOf(states: List<TargetState>): List<Double> {
+        val isShared = hasLoadControl()
+        val shared = if (isShared) states.map { dependencies.loads.serviceTimes.averageMs(it.entry.id) } else emptyList()
+        val times = if (shared.any { it != null }) shared else states.map { it.serviceTimeMsOrNull }
+        val known = times.filterNotNull()
+        val typicalMs = if (known.isEmpty()) DEFAULT_SERVICE_TIME_MS else known.average()
+        val nowMs = timer.nowMs()
+        return states.mapIndexed { index, state ->
+            val slowdown = if (isShared) maxOf(1.0, state.slowdown(nowMs)) else 1.0
+            state.entry.slots / ((times[index] ?: typicalMs) * slowdown)
+        }
+    }
+
     private fun mayOwnKeys(state: TargetState): Boolean =
         dependencies.directory.acceptsNewWork(state) && !grantManager.isLost(incarnationOf(state.entry))
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -90,6 +90,7 @@
     val answer = when {
         call is RelayCall.KeySamples -> {
             keyLoadTracker.addReport(call.node, call.keys)
+            keyLoadTracker.serviceTimes.addReport(call.serviceTimes)
             call.leaving.forEach { holder -> directory.find(holder)?.let { directory.recordLeaving(it, saidAfterMs = null) } }
             positions.learn(call.positions)
             RelayAnswer.Positions(positions.current())
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.peer
 
 import kotlinx.serialization.Serializable
+import yuccaflow.entry.keys.ReportedServiceTime
 import yuccaflow.entry.keys.TargetIncarnation
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
@@ -77,7 +78,8 @@
 
     /**
      * Reports the keys for which router [node] has received requests, by service, the targets that have told it in an answer that they
-     * leave, and how far it has read the streams. The receiver processes it itself and answers with
+     * leave, how far it has read the streams, and the service times, by target, of the targets that have responded to it since its last
+     * report. The receiver processes it itself and answers with
      * [RelayAnswer.Positions]. The name is kept for compatibility with earlier versions.
      */
     @Serializable
@@ -86,6 +88,7 @@
         val keys: Map<String, List<Int>>,
         val leaving: List<TargetIncarnation> = emptyList(),
         val positions: List<RelayedPosition> = emptyList(),
+        val serviceTimes: Map<String, ReportedServiceTime> = emptyMap(),
     ) : RelayCall
 }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
@@ -3,19 +3,23 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import yuccaflow.base.TimerService
+import yuccaflow.entry.config.RoutingTable
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.keys.KeyLoadTracker
+import yuccaflow.entry.keys.ReportedServiceTime
 import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.http.SocketAddress
 import kotlin.random.Random
 
 /**
- * Reports to the planner: the keys of this router's requests, by which the planner balances the key ranges, the targets that have told this
+ * Reports to the planner: the keys of this router's requests and the service times of targets, by which the planner balances the key
+ * ranges, the targets that have told this
  * router that they leave, whose keys the planner moves, and how far this router has read the streams. The answer says how far the
  * planner has read them. While no planner answers, this router exchanges its positions with other routers instead.
  *
  * @property planner returns the relay address of the planner, or null if this router is the planner or none is known.
  * @property otherRouters returns the relay addresses of the other routers.
+ * @property table returns the routing table in force. Service times are reported only under load control, which it enables.
  */
 internal class RouterReporter(
     private val node: String,
@@ -27,6 +31,7 @@
     private val client: RelayClient,
     private val timer: TimerService,
     private val random: Random = Random,
+    private val table: () -> RoutingTable? = { null },
 ) {
     private var hasPlannerAnswered = false
 
@@ -43,7 +48,15 @@
         if (address == null || !hasPlannerAnswered) launch { exchangePositions() }
         val samples = keyLoadTracker.drainUnreported()
         val leaving = directory.saidToLeave().map(::incarnationOf)
-        hasPlannerAnswered = address != null && send(address, RelayCall.KeySamples(node, samples, leaving, positions.current()))
+        val report = RelayCall.KeySamples(node, samples, leaving, positions.current(), drainServiceTimes())
+        hasPlannerAnswered = address != null && send(address, report)
+    }
+
+    /** Returns the service times to report. They are also added to this router's own averages, in case that it is or becomes the planner. */
+    private fun drainServiceTimes(): Map<String, ReportedServiceTime> {
+        val services = table()?.takeIf { it.hasLoadControl }?.services.orEmpty()
+        val states = services.values.filter { it.isKeyed }.flatMap { directory.ofService(it.name) }
+        return keyLoadTracker.serviceTimes.drainUnreported(states).also(keyLoadTracker.serviceTimes::addReport)
     }
 
     private suspend fun exchangePositions() {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/RouterMeters.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/RouterMeters.kt
@@ -1,6 +1,7 @@
 package yuccaflow.entry.telemetry
 
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -19,6 +20,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT).apply { config().commonTags("node", node, "zone", zone) }
     private val requestTimers = HashMap<Pair<String, RequestOutcome>, Timer>()
     private val retryCounters = HashMap<String, Counter>()
+    private val counterValues = ArrayList<() -> Number>()
     private val noticeCounters = HashMap<Pair<String, String>, Counter>()
 
     /** Records a request for [service] that ended with [outcome] after [elapsedMs]. The latency buckets are multiples of [objectiveMs]. */
@@ -55,6 +57,13 @@
         Gauge.builder(name) { value() }.tag(tag, tagValue).register(registry)
     }
 
+    /** Registers a counter whose [value], which must not decrease, is read at each scrape. */
+    fun counter(name: String, value: () -> Number) {
+        // The library keeps only a weak reference to the object that it reads the value from.
+        counterValues += value
+        FunctionCounter.builder(name, value) { it().toDouble() }.register(registry)
+    }
+
     /** Returns the metrics in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerBalancingTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerBalancingTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.KEYED_SERVICE
 import yuccaflow.entry.fake.LOAD_CONTROL_VERSION
@@ -45,6 +46,28 @@
         expectThat(targets.violations).isEmpty()
     }
 
+    /** Guards against a planner that takes a slow target for a typical one, because it has hardly seen its responses itself. */
+    @Test
+    fun `assigns fewer hot keys to a target that other routers report as slow`() = simulation(22) {
+        advance(5_000)
+        data.append(KeyedStream.OPERATORS, listOf(FakeRecords.tableChange(LOAD_CONTROL_VERSION)))
+        advance(500)
+        val slow = planner()!!.clusterState.find(KEYED_SERVICE, HOT_KEYS.first)!!.holder
+        repeat(10) {
+            routers.values.forEach { router ->
+                targets.incarnations.forEach { target ->
+                    val meanMs = if (target.entry.id == slow.target) 1_000.0 else 100.0
+                    router.loads.serviceTimes.addReport(mapOf(target.entry.id to ReportedServiceTime(meanMs, 5)))
+                }
+            }
+            sendHotRequests(400)
+        }
+        val ranges = planner()!!.clusterState.ofService(KEYED_SERVICE)
+        val keptBySlow = HOT_KEYS.count { key -> ranges.first { key in it.from..it.to }.holder == slow }
+        expectThat(keptBySlow).isLessThan(HOT_KEYS.count() / 10)
+        expectThat(targets.violations).isEmpty()
+    }
+
     /** Guards against changed decisions where load control is not enabled. */
     @Test
     fun `runs no rounds of load control without a route that enables it`() = simulation(21) {
