Ramp up the requests to started and recovered targets under load control

The ramp starts when a target is first seen, and after its cold time, a suspicion or a pause. TargetChooser consults it beside the cold start limiter. A target that becomes usable together with most others of its service is not ramped: at the start of a system there is no usual speed to compare with and no other target. Without load control no decision changes. Ramps are logged and counted in a gauge.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -314,6 +314,7 @@
         meters.gauge("yuccaflow.config.version") { operators.table?.version ?: 0 }
         meters.gauge("yuccaflow.config.rejected.entries") { operators.table?.rejected?.size ?: 0 }
         meters.gauge("yuccaflow.routers") { clusterState.memberCount }
+        meters.gauge("yuccaflow.targets.ramping") { directory.rampingCount() }
         meters.gauge("yuccaflow.planner") { if (authority.isRecordedPlanner) 1 else 0 }
         meters.gauge("yuccaflow.event.loop.delay.seconds") { eventLoopMonitor.delayMs / MS_PER_S }
         meters.gauge("yuccaflow.store.unreachable") { if (directStoreAccess.isAvailable) 0 else 1 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUp.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUp.kt
@@ -80,8 +80,8 @@
     private var pending: Pending? = null
     private var ramp: Ramp? = null
 
-    /** Whether the target was ramping when it was last consulted. */
-    val isRamping: Boolean get() = ramp != null
+    /** Whether requests are limited now. A ramp that is due starts only with the next request. */
+    val isRamping: Boolean get() = surroundings.isEnabled && (ramp?.let { it.quietMs(timer.nowMs()) < MAX_QUIET_MS } ?: false)
 
     /** Starts a ramp at [fromMs]. Until then the target is not limited here. A start that is already due later stays. */
     fun startAt(fromMs: Long, cause: RampCause) {
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -63,6 +63,7 @@
             it !in context.excluded &&
                 it.suspectedUntilMs <= nowMs &&
                 it.pauseAllowsRequest(nowMs) &&
+                it.rampAllowsRequest(isOnlyOwner = false) &&
                 coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
         }
         val best = eligible.minByOrNull { score(it, context, nowMs) }
@@ -85,6 +86,7 @@
             return TargetChoice.None("the targets are full", FULL_RETRY_AFTER_MS)
         }
         if (!target.pauseAllowsRequest(nowMs)) return TargetChoice.None("the target returns from a pause", FULL_RETRY_AFTER_MS)
+        if (!target.rampAllowsRequest(context.serviceConfig.isKeyed)) return TargetChoice.None("the target is ramping up", FULL_RETRY_AFTER_MS)
         if (!coldStartLimiter.tryAcquire(target, context.serviceConfig, nowMs)) {
             return TargetChoice.None("the target is cold", COLD_RETRY_AFTER_MS)
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -11,11 +11,13 @@
  *
  * @param writtenAfterMs the earliest time at which [entry] may have been written, or null if that may have been any time.
  * @property seenAtMs when this router first read an entry of this incarnation.
+ * @param rampUps builds the ramp of the target, or null if its requests are never ramped up.
  */
 internal class TargetState(
     entry: TargetEntry,
     val seenAtMs: Long,
     writtenAfterMs: Long? = null,
+    rampUps: RampUps? = null,
 ) {
     /** The newest directory entry. */
     var entry: TargetEntry = entry
@@ -68,6 +70,13 @@
     private var failureShare = 0.0
     private var failureShareAtMs = seenAtMs
 
+    /** Limits the requests after the target has started or recovered, or null if they are never limited. */
+    val rampUp: RampUp? = rampUps?.create(this)
+
+    init {
+        if (coldUntilMs > seenAtMs) rampUp?.startAt(coldUntilMs, RampCause.COLD) else rampUp?.startAt(seenAtMs, RampCause.FIRST_SEEN)
+    }
+
     /** Applies a newer entry of the same incarnation, which was written after [writtenAfterMs], or at any time if that is null. */
     fun update(newer: TargetEntry, nowMs: Long, writtenAfterMs: Long?) {
         if (newer.isDraining) draining = Announcement.read(writtenAfterMs, nowMs).orEarlier(draining)
@@ -89,7 +98,7 @@
 
     /** Records that the target wants no requests until [untilMs], or later if it has asked for that before. */
     fun pauseUntil(untilMs: Long) {
-        pause = Pause(untilMs).orLater(pause)
+        pause = Pause(untilMs).orLater(pause).also { rampUp?.startAt(it.untilMs, RampCause.PAUSED) }
     }
 
     /** Returns how much longer the target wants no requests, or 0 if it takes requests. */
@@ -98,9 +107,13 @@
     /** Returns whether a pause, or the gradual return of requests after it, allows another request in flight. */
     fun pauseAllowsRequest(nowMs: Long): Boolean = pause?.let { inFlight < it.maxInFlight(nowMs, entry.slots) } ?: true
 
+    /** Returns whether a ramp allows another request in flight. An [isOnlyOwner] is the only target that can serve the request. */
+    fun rampAllowsRequest(isOnlyOwner: Boolean): Boolean = rampUp?.allowsRequest(inFlight, isOnlyOwner) ?: true
+
     /** Marks the target as cold until at least [untilMs]. */
     fun markCold(untilMs: Long) {
         coldUntilMs = max(coldUntilMs, untilMs)
+        rampUp?.startAt(coldUntilMs, RampCause.COLD)
     }
 
     /** Counts a request that is about to be sent. */
@@ -140,10 +153,14 @@
         loadReportedAtMs = nowMs
     }
 
-    /** Records the response time of a request that was sent when the target held [occupancy] requests, this one included. */
-    fun recordResponse(elapsedMs: Long, occupancy: Double) {
+    /**
+     * Records the response time of a request that was sent when the target held [occupancy] requests, this one included. The size of a large
+     * transfer determines its time.
+     */
+    fun recordResponse(elapsedMs: Long, occupancy: Double, isLargeTransfer: Boolean = false) {
         val queueingFactor = max(1.0, occupancy / entry.slots)
         val sample = elapsedMs / queueingFactor
+        rampUp?.recordResponse(sample, mayTakeLong = isLargeTransfer)
         serviceTimeMs = serviceTimeMs?.let { it + SERVICE_TIME_SMOOTHING * (sample - it) } ?: sample
     }
 
@@ -151,20 +168,28 @@
     fun recordSuccess(nowMs: Long) {
         failuresInARow = 0
         suspectedUntilMs = 0
+        rampUp?.suspicionEnded()
         recordOutcome(0.0, nowMs)
     }
 
+    /** Records that the target has refused a request because of its load. That alone is no failure. */
+    fun recordRefusal() {
+        rampUp?.recordTrouble()
+    }
+
     /**
      * Records a failed request. The target becomes suspected at once if it [isUnreachable], otherwise after [FAILURES_TO_SUSPECT] failures
      * in a row. Returns true if this call makes it suspected.
      */
     fun recordFailure(nowMs: Long, isUnreachable: Boolean): Boolean {
         recordOutcome(1.0, nowMs)
+        rampUp?.recordTrouble()
         failuresInARow++
         if (!isUnreachable && failuresInARow < FAILURES_TO_SUSPECT) return false
         val doublings = (failuresInARow - 1).coerceIn(0, MAX_DOUBLINGS)
         val wasSuspected = suspectedUntilMs > nowMs
         suspectedUntilMs = nowMs + (FIRST_SUSPICION_MS shl doublings)
+        rampUp?.startAt(suspectedUntilMs, RampCause.SUSPECTED)
         return !wasSuspected
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -2,6 +2,7 @@
 
 import yuccaflow.base.TimerService
 import yuccaflow.entry.balance.Announcement
+import yuccaflow.entry.balance.RampUps
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.store.KeyedRecord
@@ -26,6 +27,7 @@
 ) : StreamListener {
     private val states = HashMap<String, TargetState>()
     private val removedStates = HashMap<String, TargetState>()
+    private val rampUps = RampUps(operators, timer, events, ::ofService)
 
     /** Returns the state of target [id] if its entry is present or in the grace period after its removal. */
     fun find(id: String): TargetState? = states[id]?.takeUnless { isExpired(it) }
@@ -57,6 +59,9 @@
         }
     }
 
+    /** Returns the number of targets whose requests are being ramped up. */
+    fun rampingCount(): Int = states.values.count { it.rampUp?.isRamping ?: false }
+
     /** Returns whether no target is known. */
     fun isEmpty(): Boolean = states.isEmpty()
 
@@ -90,7 +95,7 @@
         val known = states[entry.id] ?: removedStates[entry.id]
         removedStates -= entry.id
         if (known == null || !known.entry.isSameIncarnation(entry)) {
-            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs)
+            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs, rampUps)
             logSeen(entry, known)
             return
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -211,7 +211,7 @@
             logRequest(Events.REQUEST_UNKNOWN, exchange, target, "the target answered ${result.response.status}")
             return result.response
         }
-        target.recordResponse(nowMs - sentAtMs, occupancy)
+        target.recordResponse(nowMs - sentAtMs, occupancy, exchange.route.isLargeTransfer)
         recordSuccess(target, nowMs)
         if (Random.nextInt(SAMPLE_ONE_IN) == 0) logRequest(Events.REQUEST_SAMPLED, exchange, target, "status ${result.response.status}")
         return result.response
@@ -244,6 +244,7 @@
     private suspend fun notRun(exchange: Exchange, target: TargetState, result: TargetResult.NotRun, sentAtMs: Long): HttpResponse? {
         result.notice?.let { recordNotice(exchange, target, it, sentAtMs) }
         exchange.refusals++
+        if (result.cause == NotRunCause.SHED) target.recordRefusal()
         when (result.cause) {
             NotRunCause.UNREACHABLE -> {
                 target.markCold(timer.nowMs() + exchange.serviceConfig.coldStartMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/telemetry/Events.kt
@@ -34,6 +34,8 @@
     const val TARGET_REJECTED = "target_entry_rejected"
     const val TARGET_SUSPECTED = "target_suspected"
     const val TARGET_RECOVERED = "target_recovered"
+    const val TARGET_RAMP_STARTED = "target_ramp_started"
+    const val TARGET_RAMP_ENDED = "target_ramp_ended"
 
     const val GROUP_LOST = "group_lost"
     const val GROUP_JOINED = "group_joined"
