--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUp.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUp.kt
@@ -181,7 +181,7 @@
         /** A ramp without trouble ends after this time. Other routers send requests meanwhile, so the target has warmed up anyway. */
         const val MAX_QUIET_MS = 5_000L
 
-        /** Responses up to this multiple of the usual service time count as good, so that the slower half of the targets proves itself too. */
+        /** Responses up to this multiple of the usual service time are good, so that the slower half of the targets proves itself too. */
         private const val ABOUT_AS_FAST = 2.0
 
         /** Above the factor of three by which any target may be slower for moments. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -86,7 +86,9 @@
             return TargetChoice.None("the targets are full", FULL_RETRY_AFTER_MS)
         }
         if (!target.pauseAllowsRequest(nowMs)) return TargetChoice.None("the target returns from a pause", FULL_RETRY_AFTER_MS)
-        if (!target.rampAllowsRequest(context.serviceConfig.isKeyed)) return TargetChoice.None("the target is ramping up", FULL_RETRY_AFTER_MS)
+        if (!target.rampAllowsRequest(context.serviceConfig.isKeyed)) {
+            return TargetChoice.None("the target is ramping up", FULL_RETRY_AFTER_MS)
+        }
         if (!coldStartLimiter.tryAcquire(target, context.serviceConfig, nowMs)) {
             return TargetChoice.None("the target is cold", COLD_RETRY_AFTER_MS)
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -154,8 +154,8 @@
     }
 
     /**
-     * Records the response time of a request that was sent when the target held [occupancy] requests, this one included. The size of a large
-     * transfer determines its time.
+     * Records the response time of a request that was sent when the target held [occupancy] requests, this one included. The time of a
+     * large transfer depends on its size.
      */
     fun recordResponse(elapsedMs: Long, occupancy: Double, isLargeTransfer: Boolean = false) {
         val queueingFactor = max(1.0, occupancy / entry.slots)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/TargetRampTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/TargetRampTest.kt
@@ -1,7 +1,5 @@
 package yuccaflow.entry.balance
 
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -10,17 +8,10 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 import yuccaflow.entry.config.OperatorState
-import yuccaflow.entry.config.RequestKind
-import yuccaflow.entry.config.Route
-import yuccaflow.entry.config.RoutingTable
-import yuccaflow.entry.config.ServiceShare
-import yuccaflow.entry.directory.OperatorRecord
-import yuccaflow.entry.directory.RecordDecoder
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.ManualTimer
 import yuccaflow.entry.fake.RecordingEventLog
-import yuccaflow.entry.store.KeyedRecord
 import yuccaflow.entry.telemetry.Events
 
 /** Targets `t1` to `t3` have been in use for a minute and respond in 100 ms; `t4` has then started. */
@@ -33,17 +24,7 @@
     private val coldStartLimiter = ColdStartLimiter("r", ColdStartLimits(1.5, 5.0), operators) { setOf("r") }
     private val chooser = TargetChooser(directory, "a", timer, coldStartLimiter)
 
-    /** Version 1 of the routing table enables load control, version 2 does not. */
-    private object LoadControlDecoder : RecordDecoder by FakeRecords {
-        override fun decodeOperatorRecord(key: String, value: ByteArray?): OperatorRecord {
-            val version = value!!.decodeToString().toLong()
-            val table = FakeRecords.table(version)
-            val routes = persistentListOf(route(isLargeTransfer = version == 1L))
-            return OperatorRecord.Table(RoutingTable(version, routes, persistentMapOf(), table.callerLimits))
-        }
-    }
-
-    private fun writeTable(version: Int) = operators.onRecords(listOf(KeyedRecord("table", "$version".toByteArray(), 0)), 1)
+    private fun setLoadControl(isOn: Boolean) = operators.onRecords(listOf(LoadControlDecoder.tableRecord(isOn)), 1)
 
     private fun writeTarget(number: Int, bornMs: Long = 1, coldMs: Long = 0): TargetState {
         val entry = FakeRecords.entry("t$number", number, bornMs = bornMs, service = "s").copy(coldRemainingMs = coldMs)
@@ -57,7 +38,7 @@
     }
 
     private fun context(isKeyed: Boolean = false, excluded: Set<TargetState> = emptySet()) =
-        ChoiceContext(route(isLargeTransfer = false), FakeRecords.serviceConfig("s", isKeyed), excluded, 1_000)
+        ChoiceContext(LoadControlDecoder.ROUTE, FakeRecords.serviceConfig("s", isKeyed), excluded, 1_000)
 
     /** Starts [requests] requests at the chosen targets and returns how many [target] got. */
     private fun load(target: TargetState, requests: Int = 10): Int = (1..requests).count {
@@ -81,7 +62,7 @@
     @DisplayName("with load control")
     inner class WithLoadControl {
         init {
-            writeTable(1)
+            setLoadControl(true)
         }
 
         /** Guards against a new target that gets most of the load at once, because it is the only one without requests. */
@@ -152,7 +133,7 @@
             startService()
             val started = writeTarget(4)
             load(started)
-            writeTable(2)
+            setLoadControl(false)
             expectThat(directory.rampingCount()).isEqualTo(0)
             expectThat(load(started) > 0).isTrue()
         }
@@ -164,7 +145,7 @@
         /** Guards against changed decisions in deployments without uploads and downloads. */
         @Test
         fun `are not limited for a new target, nor after a suspicion, a pause or refusals`() {
-            writeTable(2)
+            setLoadControl(false)
             val (suspected) = startService()
             val started = writeTarget(4)
             suspected.recordFailure(timer.now, isUnreachable = true)
@@ -175,9 +156,4 @@
             expectThat(log.count(Events.TARGET_RAMP_STARTED)).isEqualTo(0)
         }
     }
-
-    private companion object {
-        fun route(isLargeTransfer: Boolean) =
-            Route("read", "h", "/", RequestKind.IDEMPOTENT, 1_000, 200, 2, 1, persistentListOf(ServiceShare("s", 1.0)), isLargeTransfer)
-    }
 }
