--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -97,6 +97,7 @@
             it !in context.excluded &&
                 it.suspectedUntilMs <= nowMs &&
                 it.pauseAllowsRequest(nowMs) &&
+                it.rampAllowsRequest(isOnlyOwner = false) &&
                 coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
         }
         val best = if (context.hasLoadControl) bestOfSample(eligible, context, nowMs) else bestOf(eligible, context, nowMs)
@@ -149,6 +150,9 @@
             return TargetChoice.None("the targets are full", FULL_RETRY_AFTER_MS)
         }
         if (!target.pauseAllowsRequest(nowMs)) return TargetChoice.None("the target returns from a pause", FULL_RETRY_AFTER_MS)
+        if (!target.rampAllowsRequest(context.serviceConfig.isKeyed)) {
+            return TargetChoice.None("the target is ramping up", FULL_RETRY_AFTER_MS)
+        }
         if (!coldStartLimiter.tryAcquire(target, context.serviceConfig, nowMs)) {
             return TargetChoice.None("the target is cold", COLD_RETRY_AFTER_MS)
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
@@ -52,6 +52,7 @@
      * anyway, or if it is full. A full owner that counts as failed would get suspected, and all of its keys refused although it serves them.
      */
     fun recordShed(exchange: Exchange, target: TargetState, result: TargetResult.NotRun) {
+        target.recordRefusal()
         val isFull = exchange.table.hasLoadControl && result.notice?.showsFullTarget == true
         if (isFull || result.notice?.pause is PauseRequest.Pause) return
         recordFailure(target, isUnreachable = false, result.reason)
