Reject responses whose status line is not valid HTTP/1.1

A target in trouble can send a status line that is none in the protocol. Netty parses the status with Integer.parseInt and accepts any version, so the client passed these on as responses: 000, 0, 099, 99, 600, 999, 2000, 0200, +200, +20, the versions HTTP/2.0, HTTP/1.2 and HTTP/0.9, and http/1.1 in lower case. They now break the connection (the request may have run). Status 101 does too: before, the request waited for its deadline.

--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -138,6 +138,8 @@
                 is InboundEvent.Malformed -> ResponseRead.Broken("the response is malformed: ${event.cause.message}")
                 is InboundEvent.Head -> {
                     val head = event.message as NettyResponse
+                    // Requests never ask for another protocol, and what follows would not be HTTP.
+                    if (head.status().code() == SWITCHING_PROTOCOLS) return ResponseRead.Broken("the server changed the protocol")
                     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
                     readBody(method, head, parts)
                 }
@@ -207,6 +209,7 @@
         // A connection is reused only in the first half of the time for which the server keeps it open.
         const val SERVER_KEEP_ALIVE_DIVISOR = 2
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,9})")
+        const val SWITCHING_PROTOCOLS = 101
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
         val SUCCESS_STATUSES = 200..299
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ResponseDecoder.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ResponseDecoder.kt
@@ -59,6 +59,19 @@
         isBetweenMessages = out.lastOrNull() is LastHttpContent
     }
 
+    /**
+     * Rejects status lines that Netty repairs or passes on: a status outside 100 to 599, one that is not of exactly three digits, and any
+     * other protocol than HTTP/1.0 and HTTP/1.1.
+     */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val (version, status) = initialLine
+        require(version in VERSIONS) { "expected HTTP/1.1 or HTTP/1.0, found ${version.shortened()}" }
+        require(STATUS.matches(status)) { "expected a status from 100 to 599, found ${status.shortened()}" }
+        return super.createMessage(initialLine)
+    }
+
+    private fun String.shortened(): String = "'${take(MAX_SHOWN_CHARS)}'"
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHead || super.isContentAlwaysEmpty(message)
 
     private companion object {
@@ -67,5 +80,11 @@
 
         // A body in chunks of one byte takes six times its length on the connection.
         const val LIMIT_PER_RESPONSE = 8L
+
+        val VERSIONS = setOf("HTTP/1.1", "HTTP/1.0")
+        val STATUS = Regex("[1-5][0-9]{2}")
+
+        /** Limits what an error text repeats of a faulty status line. */
+        const val MAX_SHOWN_CHARS = 32
     }
 }
