Count the heads of messages toward the memory that bodies share

Cause: the limit on a head counts bytes on the connection, but a header line of 4 bytes takes some 300 on the heap with its copies. Only bodies counted toward the budget of the process. RequestHeadMemoryTest (router process with 48 MB of heap, 4 clients with 60 connections each) failed before the change: the process ended with "java.lang.OutOfMemoryError: Java heap space".

Heads are now reserved from the decoder on, also while they are incomplete, until their response has been sent. What finds no room is refused with 503 and the connection is closed. BodyMemory is renamed to MessageMemory. In its test, the expected amount of two checks includes the head now; nothing else changed but names. The test's router processes end on OutOfMemoryError, as the deployed ones do.

--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -57,7 +57,7 @@
     private val decoder: ResponseDecoder,
     private val events: InboundEventQueue,
     private val settings: HttpClientSettings,
-    memory: BodyMemory,
+    private val account: MemoryAccount,
 ) {
     /** [System.nanoTime] of the last return to the pool. */
     var idleSinceNanos: Long = 0
@@ -68,8 +68,6 @@
     @Volatile
     private var lastWrite: ChannelFuture? = null
 
-    private val account = BodyAccount(memory)
-
     /** Ids of the requests that were answered without success on this connection and may therefore be sent again. */
     private val failedRequestIds = HashSet<String>()
 
@@ -136,11 +134,15 @@
             return when (val event = events.receive()) {
                 null -> ResponseRead.Broken("the connection was closed before the response")
                 is InboundEvent.Malformed -> ResponseRead.Broken("the response is malformed: ${event.cause.message}")
+                InboundEvent.NoMemory -> NO_MEMORY
                 is InboundEvent.Head -> {
                     val head = event.message as NettyResponse
                     // Requests never ask for another protocol, and what follows would not be HTTP.
                     if (head.status().code() == SWITCHING_PROTOCOLS) return ResponseRead.Broken("the server changed the protocol")
-                    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
+                    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                        account.release(event.reservedBytes)
+                        continue
+                    }
                     readBody(method, head, parts)
                 }
                 else -> continue
@@ -150,6 +152,7 @@
 
     fun close() {
         channel.close()
+        account.close()
     }
 
     private suspend fun readBody(method: String, head: NettyResponse, parts: BodyPartListener): ResponseRead {
@@ -162,12 +165,10 @@
             when (val event = events.receive()) {
                 null -> return ResponseRead.Broken("the connection was closed within the response")
                 is InboundEvent.Malformed -> return ResponseRead.Broken("the body of the response is malformed: ${event.cause.message}")
-                is InboundEvent.Body -> when (body.append(event.bytes)) {
-                    BodyBuffer.AppendResult.APPENDED -> parts.onPart(head.status().code(), event.bytes)
-                    BodyBuffer.AppendResult.OVER_LIMIT ->
-                        return ResponseRead.Broken("the body is over ${settings.bodyLimitBytes} bytes")
-                    BodyBuffer.AppendResult.NO_MEMORY ->
-                        return ResponseRead.Broken("the bodies of all responses take too much memory")
+                InboundEvent.NoMemory -> return NO_MEMORY
+                is InboundEvent.Body -> {
+                    breakAt(body.append(event.bytes))?.let { return it }
+                    parts.onPart(head.status().code(), event.bytes)
                 }
                 InboundEvent.End -> return complete(head, body.join(), isFramed)
                 else -> Unit
@@ -175,6 +176,12 @@
         }
     }
 
+    private fun breakAt(result: BodyBuffer.AppendResult): ResponseRead.Broken? = when (result) {
+        BodyBuffer.AppendResult.APPENDED -> null
+        BodyBuffer.AppendResult.OVER_LIMIT -> ResponseRead.Broken("the body is over ${settings.bodyLimitBytes} bytes")
+        BodyBuffer.AppendResult.NO_MEMORY -> NO_MEMORY
+    }
+
     private fun recordOutcome(response: HttpResponse, requestId: String) {
         if (response.status !in SUCCESS_STATUSES) failedRequestIds += requestId
     }
@@ -206,6 +213,8 @@
             ?: Long.MAX_VALUE
 
     private companion object {
+        val NO_MEMORY = ResponseRead.Broken("all messages together take too much memory")
+
         // A connection is reused only in the first half of the time for which the server keeps it open.
         const val SERVER_KEEP_ALIVE_DIVISOR = 2
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,9})")
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ConnectionPool.kt
@@ -29,7 +29,7 @@
 internal class ConnectionPool(
     private val address: SocketAddress,
     private val settings: HttpClientSettings,
-    private val memory: BodyMemory,
+    private val memory: MessageMemory,
 ) {
     val permits = Semaphore(settings.connectionsPerAddress)
     private val idle = ArrayDeque<ClientConnection>()
@@ -58,7 +58,8 @@
     /** Opens a new connection. */
     suspend fun open(): ConnectResult {
         val events = InboundEventQueue()
-        val decoder = ResponseDecoder(settings.bodyLimitBytes)
+        val account = MemoryAccount(memory)
+        val decoder = ResponseDecoder(settings.bodyLimitBytes, account)
         val bootstrap = Bootstrap()
             .group(EventLoops.group)
             .channel(NioSocketChannel::class.java)
@@ -80,7 +81,7 @@
             val isRefused = failure is ConnectException && failure !is ConnectTimeoutException
             return ConnectResult.Failed("cannot connect to $address: ${failure.message}", isRefused)
         }
-        return ConnectResult.Connected(ClientConnection(connecting.channel(), decoder, events, settings, memory))
+        return ConnectResult.Connected(ClientConnection(connecting.channel(), decoder, events, settings, account))
     }
 
     /** Closes the idle connections now and the others when they are released. */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -47,7 +47,7 @@
 /**
  * Starts a server on [listen], whose host is an IP address. With port 0 the system chooses a free port.
  *
- * Invalid requests are refused with status 400, 413, 414, 417 or 431, slow ones with 408, and those for whose bodies the process has no
+ * Invalid requests are refused with status 400, 413, 414, 417 or 431, slow ones with 408, and those for which the process has no
  * memory with 503; their connections are closed.
  * @throws java.io.IOException when the address cannot be bound.
  */
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/InboundEventQueue.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/InboundEventQueue.kt
@@ -24,12 +24,10 @@
     class Head(
         val message: HttpMessage,
     ) : InboundEvent {
-        override val bufferedBytes =
-            EVENT_OVERHEAD_BYTES + message
-                .headers()
-                .iteratorCharSequence()
-                .asSequence()
-                .sumOf { it.key.length + it.value.length }
+        /** The memory that is reserved for the head until the end of the exchange. */
+        val reservedBytes: Int = HeadSize.of(message)
+
+        override val bufferedBytes get() = EVENT_OVERHEAD_BYTES + reservedBytes
     }
 
     /** A part of a body has arrived. */
@@ -47,6 +45,9 @@
         val cause: Throwable,
     ) : InboundEvent
 
+    /** The process has no memory for the head or the trailers of the message. No events follow. */
+    data object NoMemory : InboundEvent
+
     /** The server's shutdown has been announced, or has begun to close idle connections. */
     data object ShutdownProgressed : InboundEvent
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/MessageHeaders.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/MessageHeaders.kt
@@ -26,7 +26,7 @@
     val named = headers.lines
         .filter { it.name.equals("connection", ignoreCase = true) }
         .flatMap { it.value.split(',') }
-        .map { it.trim().lowercase() }
+        .mapTo(HashSet()) { it.trim().lowercase() }
     headers.lines
         .filterNot { it.name.lowercase() in CONNECTION_HEADERS || it.name.lowercase() in named }
         .forEach { headers().add(it.name, it.value) }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/BodyMemory.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/MessageMemory.kt
@@ -3,12 +3,12 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Bounds the bytes of the bodies that a process holds for all its connections together.
+ * Bounds the bytes of the heads and bodies of messages that a process holds for all its connections together.
  *
- * A body may grow only while it is not larger than what is still free. So a few large or endless bodies cannot take the room of the many
- * small ones, and what is free never reaches zero.
+ * A body may grow only while it is not larger than what is still free, and a head only while all that its connection holds is not. So a
+ * few large consumers cannot take the room of the many small ones, and what is free never reaches zero.
  */
-internal class BodyMemory(
+internal class MessageMemory(
     private val limitBytes: Long,
 ) {
     private val used = AtomicLong()
@@ -39,42 +39,71 @@
         private const val HEAP_DIVISOR = 4L
 
         /** The memory that all servers and clients of the process share. */
-        val ofProcess = BodyMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
+        val ofProcess = MessageMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
     }
 }
 
-/** The part of [memory] that the bodies of one connection take. */
-internal class BodyAccount(
-    private val memory: BodyMemory,
+/**
+ * The part of [memory] that the messages of one connection take: their heads, also while they are being received, and their bodies. It is
+ * used by the event loop and by the coroutine of the connection.
+ */
+internal class MemoryAccount(
+    private val memory: MessageMemory,
 ) {
-    private val reservedBytes = AtomicLong()
-
-    /** Like [BodyMemory.tryReserve]. */
-    fun tryReserve(bodyBytes: Int, bytes: Int): Boolean {
-        val isReserved = memory.tryReserve(bodyBytes.toLong(), bytes.toLong())
-        if (isReserved) reservedBytes.addAndGet(bytes.toLong())
+    private var reservedBytes = 0L
+    private var isClosed = false
+
+    /** Like [MessageMemory.tryReserve]. Returns false after [close]. */
+    @Synchronized
+    fun tryReserve(bodyBytes: Int, bytes: Int): Boolean = tryReserve(bodyBytes.toLong(), bytes)
+
+    /**
+     * Reserves [bytes] for a head that is being received, unless the connection would then hold more than what is still free. A head that
+     * arrives at once is so treated like one that arrives in parts. Returns false after [close].
+     */
+    @Synchronized
+    fun tryReserveForHead(bytes: Int): Boolean = tryReserve(reservedBytes + bytes, bytes)
+
+    private fun tryReserve(sizeBytes: Long, bytes: Int): Boolean {
+        val isReserved = !isClosed && memory.tryReserve(sizeBytes, bytes.toLong())
+        if (isReserved) reservedBytes += bytes
         return isReserved
     }
 
-    /** Like [BodyMemory.reserve]. */
+    /** Like [MessageMemory.reserve]. Does nothing after [close]. */
+    @Synchronized
     fun reserve(bytes: Int) {
+        if (isClosed) return
         memory.reserve(bytes.toLong())
-        reservedBytes.addAndGet(bytes.toLong())
+        reservedBytes += bytes
     }
 
-    /** Like [BodyMemory.release]. */
+    /** Releases [bytes], or what is still reserved of them after [releaseAll]. */
+    @Synchronized
     fun release(bytes: Int) {
-        reservedBytes.addAndGet(-bytes.toLong())
-        memory.release(bytes.toLong())
+        val released = minOf(bytes.toLong(), reservedBytes)
+        reservedBytes -= released
+        memory.release(released)
     }
 
-    /** Releases everything that is still reserved, because the connection has ended. */
-    fun releaseAll() = memory.release(reservedBytes.getAndSet(0))
+    /** Releases everything that is still reserved, because the exchange has ended. */
+    @Synchronized
+    fun releaseAll() {
+        memory.release(reservedBytes)
+        reservedBytes = 0
+    }
+
+    /** Releases everything for good, because the connection has ended. The event loop may still decode what it received before. */
+    @Synchronized
+    fun close() {
+        isClosed = true
+        releaseAll()
+    }
 }
 
 /** Collects the parts of a body of at most [limitBytes] and reserves memory for them in [account]. */
 internal class BodyBuffer(
-    private val account: BodyAccount,
+    private val account: MemoryAccount,
     private val limitBytes: Int,
 ) {
     enum class AppendResult { APPENDED, OVER_LIMIT, NO_MEMORY }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -10,10 +10,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 
-/** [HttpClient] on Netty's NIO transport. It holds the bodies of responses in [memory] while they arrive. */
+/** [HttpClient] on Netty's NIO transport. It counts the memory of responses in [memory] while they arrive. */
 internal class NettyHttpClient(
     private val settings: HttpClientSettings,
-    private val memory: BodyMemory = BodyMemory.ofProcess,
+    private val memory: MessageMemory = MessageMemory.ofProcess,
 ) : HttpClient {
     private val pools = ConcurrentHashMap<SocketAddress, ConnectionPool>()
 
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
@@ -21,7 +21,7 @@
 
 /**
  * [HttpServer] on Netty's NIO transport. Each connection is served by a coroutine, a child of the server's supervisor job. The connections
- * are read by the event loops of [group], and their bodies held in [memory].
+ * are read by the event loops of [group], and the memory of their messages counted in [memory].
  */
 internal class NettyHttpServer(
     listen: SocketAddress,
@@ -29,7 +29,7 @@
     private val limitsSource: () -> HttpServerLimits,
     private val handler: HttpHandler,
     group: EventLoopGroup = EventLoops.group,
-    private val memory: BodyMemory = BodyMemory.ofProcess,
+    private val memory: MessageMemory = MessageMemory.ofProcess,
 ) : HttpServer {
     private val supervisor = SupervisorJob()
     private val scope = CoroutineScope(supervisor + dispatcher)
@@ -75,14 +75,16 @@
         override fun initChannel(channel: SocketChannel) {
             val events = InboundEventQueue()
             val limits = limitsSource()
-            channel.pipeline().addLast(StrictRequestDecoder(limits), HttpResponseEncoder(), events)
-            val connection = ServerConnection(channel, events, limits, handler, ShutdownState({ closing }, { draining }), memory)
+            val account = MemoryAccount(memory)
+            channel.pipeline().addLast(StrictRequestDecoder(limits, account), HttpResponseEncoder(), events)
+            val connection = ServerConnection(channel, events, limits, handler, ShutdownState({ closing }, { draining }), account)
             val overLimit = connections.size >= limits.connectionLimit
             val job = scope.launch { if (overLimit) connection.refuseConnection() else connection.serve() }
             connections[job] = events
             job.invokeOnCompletion {
                 connections.remove(job)
                 channel.close()
+                account.close()
             }
             channel.closeFuture().addListener { job.cancel() }
         }
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/RequestReader.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/RequestReader.kt
@@ -13,6 +13,8 @@
     class Complete(
         val request: HttpRequest,
         val keepAlive: Boolean,
+        /** The memory that is reserved for the head. */
+        val headBytes: Int,
     ) : RequestRead
 
     /** The request must be refused and the connection closed. If it [isTemporary], the caller may send the request again. */
@@ -34,7 +36,7 @@
 internal class RequestReader(
     private val events: InboundEventQueue,
     private val limits: HttpServerLimits,
-    private val account: BodyAccount,
+    private val account: MemoryAccount,
     private val continueBody: suspend () -> Unit,
 ) {
     /** The request id, as soon as the headers have been read. */
@@ -45,28 +47,27 @@
         while (true) {
             return when (val event = events.receive()) {
                 null -> RequestRead.Disconnected
-                is InboundEvent.Head -> readBody(event.message as NettyRequest)
+                is InboundEvent.Head -> readBody(event)
+                InboundEvent.NoMemory -> NO_MEMORY
                 is InboundEvent.Malformed -> rejection(event.cause)
                 else -> continue
             }
         }
     }
 
-    private suspend fun readBody(head: NettyRequest): RequestRead {
+    private suspend fun readBody(event: InboundEvent.Head): RequestRead {
+        val head = event.message as NettyRequest
         requestId = head.headers()[limits.requestIdHeader]
         checkHead(head)?.let { return it }
         if (HttpUtil.is100ContinueExpected(head)) continueBody()
         val body = BodyBuffer(account, limits.bodyLimitBytes)
         while (true) {
-            when (val event = events.receive()) {
+            when (val part = events.receive()) {
                 null -> return RequestRead.Disconnected
-                is InboundEvent.Malformed -> return rejection(event.cause)
-                is InboundEvent.Body -> when (body.append(event.bytes)) {
-                    BodyBuffer.AppendResult.APPENDED -> Unit
-                    BodyBuffer.AppendResult.OVER_LIMIT -> return TOO_LARGE.also { body.discard() }
-                    BodyBuffer.AppendResult.NO_MEMORY -> return NO_MEMORY.also { body.discard() }
-                }
-                InboundEvent.End -> return complete(head, body.join())
+                is InboundEvent.Malformed -> return rejection(part.cause)
+                InboundEvent.NoMemory -> return NO_MEMORY.also { body.discard() }
+                is InboundEvent.Body -> rejection(body.append(part.bytes))?.let { return it.also { body.discard() } }
+                InboundEvent.End -> return complete(head, body.join(), event.reservedBytes)
                 else -> Unit
             }
         }
@@ -91,9 +92,15 @@
         }
     }
 
-    private fun complete(head: NettyRequest, body: ByteArray): RequestRead {
+    private fun complete(head: NettyRequest, body: ByteArray, headBytes: Int): RequestRead {
         val request = HttpRequest(head.method().name(), originForm(head.uri())!!, head.headers().toHeaderList(), body)
-        return RequestRead.Complete(request, HttpUtil.isKeepAlive(head))
+        return RequestRead.Complete(request, HttpUtil.isKeepAlive(head), headBytes)
+    }
+
+    private fun rejection(result: BodyBuffer.AppendResult): RequestRead.Rejected? = when (result) {
+        BodyBuffer.AppendResult.APPENDED -> null
+        BodyBuffer.AppendResult.OVER_LIMIT -> TOO_LARGE
+        BodyBuffer.AppendResult.NO_MEMORY -> NO_MEMORY
     }
 
     private fun rejection(cause: Throwable): RequestRead = when (cause) {
@@ -113,7 +120,7 @@
         val NO_MEMORY = RequestRead.Rejected(
             UNAVAILABLE,
             "overloaded",
-            "the bodies of all requests take too much memory",
+            "all requests together take too much memory",
             isTemporary = true,
         )
         val TOO_LARGE = RequestRead.Rejected(BODY_TOO_LARGE, "body too large", "the body is over the limit")
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ResponseDecoder.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ResponseDecoder.kt
@@ -15,9 +15,11 @@
  *
  * The connection is closed when bytes arrive while no response is expected, and when far more bytes arrive for one request than a response
  * with a body of [bodyLimitBytes] takes. All bytes count, because interim responses and responses to other requests have no other limit.
+ * Memory for heads is reserved in [account].
  */
 internal class ResponseDecoder(
     bodyLimitBytes: Int,
+    account: MemoryAccount,
 ) : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES)) {
     private val limitBytes = LIMIT_PER_RESPONSE * (HEADER_LIMIT_BYTES + bodyLimitBytes)
 
@@ -25,6 +27,8 @@
     private var isResponseExpected = false
     private var isHead = false
     private var receivedBytes = 0L
+    private val meter = HeadMeter(account)
+    private var isOutOfMemory = false
 
     /** Whether no message is partly decoded. Read on the event loop. */
     var isBetweenMessages = true
@@ -54,7 +58,21 @@
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (isOutOfMemory) {
+            buffer.skipBytes(buffer.readableBytes())
+            return
+        }
+        val before = buffer.readerIndex()
         super.decode(context, buffer, out)
+        if (!meter.onDecoded(buffer.readerIndex() - before, out, buffer)) {
+            isOutOfMemory = true
+            out.forEach(ReferenceCountUtil::release)
+            out.clear()
+            meter.discard()
+            out += InboundEvent.NoMemory
+            // The receiver closes the connection too, but it may be busy.
+            context.close()
+        }
         // Each call decodes one part of a message. The rest of the buffer is decoded by further calls.
         isBetweenMessages = out.lastOrNull() is LastHttpContent
     }
@@ -67,7 +85,7 @@
         val (version, status) = initialLine
         require(version in VERSIONS) { "expected HTTP/1.1 or HTTP/1.0, found ${version.shortened()}" }
         require(STATUS.matches(status)) { "expected a status from 100 to 599, found ${status.shortened()}" }
-        return super.createMessage(initialLine)
+        return super.createMessage(initialLine).also(meter::onStartLine)
     }
 
     private fun String.shortened(): String = "'${take(MAX_SHOWN_CHARS)}'"
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
@@ -27,18 +27,20 @@
     val isDraining: () -> Boolean,
 )
 
-/** One connection from a caller. Its coroutine runs [serve], which reads requests, starts their handlers and sends responses in order. */
+/**
+ * One connection from a caller. Its coroutine runs [serve], which reads requests, starts their handlers and sends responses in order. The
+ * owner of [account] closes it when the coroutine has ended.
+ */
 internal class ServerConnection(
     private val channel: SocketChannel,
     private val events: InboundEventQueue,
     private val limits: HttpServerLimits,
     private val handler: HttpHandler,
     private val shutdown: ShutdownState,
-    memory: BodyMemory,
+    private val account: MemoryAccount,
 ) {
     private val pipelineSlots = Semaphore(limits.pipelineDepth)
     private val exchanges = Channel<Exchange>(Channel.UNLIMITED)
-    private val account = BodyAccount(memory)
 
     /** Number of requests that were read and whose response is not ready yet. */
     private var pendingResponses = 0
@@ -63,7 +65,6 @@
             }
         } finally {
             channel.close()
-            account.releaseAll()
         }
     }
 
@@ -114,7 +115,7 @@
             val isLast = !exchange.read.keepAlive || (shutdown.isAnnounced() && pendingResponses == 0)
             if (isLast) isClosing = true
             val written = send(exchange.read.request, response, !isLast)
-            account.release(response.body.size)
+            account.release(response.sizeBytes() + exchange.read.headBytes)
             if (isLast && written) closeGracefully()
             if (isLast || !written) channel.close()
             pipelineSlots.release()
@@ -141,9 +142,9 @@
         }
     }
 
-    /** Handles [request] and releases the memory of its body. That of the response is reserved until it has been sent. */
+    /** Handles [request] and releases the memory of its body. That of its head and of the response is reserved until that has been sent. */
     private suspend fun handle(request: HttpRequest): HttpResponse = try {
-        respond(request).also { account.reserve(it.body.size) }
+        respond(request).also { account.reserve(it.sizeBytes()) }
     } finally {
         account.release(request.body.size)
     }
@@ -211,6 +212,8 @@
         return refusal(INTERNAL_ERROR, "internal error", "the request handler failed", "unknown", id, limits.requestIdHeader)
     }
 
+    private fun HttpResponse.sizeBytes() = HeadSize.of(headers) + body.size
+
     private fun HttpResponse.retryLater() = HttpResponse(status, headers.with("Retry-After", "1"), body)
 
     private companion object {
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/StrictRequestDecoder.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/StrictRequestDecoder.kt
@@ -1,19 +1,22 @@
 package yuccaflow.http
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
 
 /**
- * A request decoder that also reports the first byte of each request and rejects two defects that Netty would repair: a request with both
- * Content-Length and Transfer-Encoding, and folded header lines. If another HTTP implementation on the path repaired them differently,
- * callers could smuggle requests.
+ * A request decoder that also reports the first byte of each request, reserves memory for heads in [account], and rejects two defects that
+ * Netty would repair: a request with both Content-Length and Transfer-Encoding, and folded header lines. If another HTTP implementation on
+ * the path repaired them differently, callers could smuggle requests.
  */
 internal class StrictRequestDecoder(
     limits: HttpServerLimits,
+    account: MemoryAccount,
 ) : HttpRequestDecoder(
         HttpDecoderConfig()
             .setMaxInitialLineLength(limits.requestLineLimitBytes)
@@ -23,8 +26,16 @@
     private var isStarted = false
     private var isInHead = true
     private var isPastRequestLine = false
+    private val meter = HeadMeter(account)
+    private var isOutOfMemory = false
+
+    override fun createMessage(initialLine: Array<String>): HttpMessage = super.createMessage(initialLine).also(meter::onStartLine)
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (isOutOfMemory) {
+            buffer.skipBytes(buffer.readableBytes())
+            return
+        }
         if (!isStarted && buffer.isReadable) {
             isStarted = true
             context.fireChannelRead(InboundEvent.Started)
@@ -36,6 +47,13 @@
         }
         val before = buffer.readerIndex()
         super.decode(context, buffer, out)
+        if (!meter.onDecoded(buffer.readerIndex() - before, out, buffer)) {
+            isOutOfMemory = true
+            dropMessage(context, out)
+            meter.discard()
+            out += InboundEvent.NoMemory
+            return
+        }
         isPastRequestLine = isPastRequestLine || buffer.readerIndex() > before
         if (out.any { it is HttpMessage }) isInHead = false
         if (out.any { it is LastHttpContent }) {
@@ -45,6 +63,14 @@
         }
     }
 
+    /** Drops what has been received of the message, because its connection may stay open for a while. */
+    private fun dropMessage(context: ChannelHandlerContext, out: MutableList<Any>) {
+        out.forEach(ReferenceCountUtil::release)
+        out.clear()
+        reset()
+        super.decode(context, Unpooled.EMPTY_BUFFER, out)
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/BodyMemoryTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/MessageMemoryTest.kt
@@ -18,10 +18,10 @@
 import java.util.concurrent.CountDownLatch
 import kotlin.random.Random
 
-@DisplayName("The memory for bodies")
+@DisplayName("The memory for messages")
 @Timeout(30)
-class BodyMemoryTest {
-    private val memory = BodyMemory(LIMIT_BYTES)
+class MessageMemoryTest {
+    private val memory = MessageMemory(LIMIT_BYTES)
 
     @Nested
     @DisplayName("of all requests together")
@@ -47,7 +47,7 @@
         @Test
         fun `refuses a large body while others take most of it, and takes it when they are gone`() {
             upload(LARGE_BYTES, LARGE_BYTES - 1).use { unfinished ->
-                awaitUsed(LARGE_BYTES - 1L)
+                awaitUsed(LARGE_BYTES - 1L + UPLOAD_HEAD_BYTES)
                 upload(LARGE_BYTES).use { caller ->
                     val refusal = caller.response()
                     expectThat(refusal.status).isEqualTo(UNAVAILABLE)
@@ -64,7 +64,7 @@
         @Test
         fun `is released when a caller leaves within a body`() {
             repeat(ROUNDS) {
-                upload(LARGE_BYTES, LARGE_BYTES - 1).use { awaitUsed(LARGE_BYTES - 1L) }
+                upload(LARGE_BYTES, LARGE_BYTES - 1).use { awaitUsed(LARGE_BYTES - 1L + UPLOAD_HEAD_BYTES) }
                 awaitUsed(0)
             }
             expectThat(statusOf(LARGE_BYTES)).isEqualTo(OK)
@@ -116,7 +116,7 @@
     fun `never exceeds its limit and is free again when all bodies are released`() {
         val random = Random(1)
         repeat(ROUNDS) {
-            val accounts = List(8) { BodyAccount(memory) }
+            val accounts = List(8) { MemoryAccount(memory) }
             val sizes = LongArray(accounts.size)
             repeat(500) {
                 val index = random.nextInt(accounts.size)
@@ -142,6 +142,9 @@
         /** Less than half of the limit, so that one fits beside a few small ones, but not two. */
         const val LARGE_BYTES = 180_000
         const val SMALL_BYTES = 1_000
+
+        /** The head of an upload of [LARGE_BYTES]: its lines and the characters of these and of the target. */
+        val UPLOAD_HEAD_BYTES = HeadSize.of(2, "Host".length + "h".length + "Content-Length".length + "180000".length + "/a".length)
         const val ENDLESS = 5
         const val ROUNDS = 20
         const val OK = 200
