--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/AssignmentBatch.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/AssignmentBatch.kt
@@ -3,10 +3,11 @@
 import yuccaflow.entry.store.KeyedChange
 import java.util.TreeMap
 
-/** Collects changes to the assignments of [service] and converts them into the records of one conditional append. */
+/** Collects changes to the assignments of [service] and converts them into the records of one conditional append in [era] of the store. */
 internal class AssignmentBatch(
     private val service: String,
     current: List<Assignment>,
+    private val era: Long = 0,
 ) {
     private val before = current.associateBy { it.from }
     private val after = TreeMap(before)
@@ -43,14 +44,14 @@
     /** Returns the changed assignments with the generations that they get if the records are appended at [endOffset]. */
     fun changed(endOffset: Long): List<Assignment> =
         after.values.filter { before[it.from] != it }.mapIndexed { index, assignment ->
-            // Each record has a higher offset, so no two changes share a generation. Adding 1 leaves out 0, which means unset.
-            if (assignment.generation == UNSET) assignment.copy(generation = endOffset + index + 1) else assignment
+            // Each record has a higher offset, so no two changes share a generation.
+            if (assignment.generation == UNSET) assignment.copy(generation = generationOf(era, endOffset + index)) else assignment
         }
 
     /** Returns the records to append at [endOffset]. */
     fun records(endOffset: Long): List<KeyedChange> {
-        val removed = before.keys.filter { it !in after }.map { ClusterState.rangeRemoval(service, it) }
-        return changed(endOffset).map(ClusterState::rangeChange) + removed
+        val removed = before.keys.filter { it !in after }.map { ClusterState.rangeRemoval(service, it, era) }
+        return changed(endOffset).map { ClusterState.rangeChange(it, era) } + removed
     }
 
     /** Returns all holders that may have a grant on keys of [covering]: while it moves, its former holders as well as the new one. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -23,6 +23,10 @@
  * @property life identifies the incarnation of the router, that is, one run of its process.
  * @property term increases with each change of the planner.
  * @property haveFormersEnded whether none of the planners before this one, or before the one that resigned, can still call targets.
+ * @property era the era of the store in which the append of this record was decided.
+ * @property isRestored whether the assignments of [era] have been written. Until then, those of an older era are the latest known ones, and
+ * moves may be missing from them. Has no meaning in era 0.
+ * @property isSettled whether all grants of older eras that the assignments do not show have ended. Has no meaning in era 0.
  */
 @Serializable
 internal data class PlannerTerm(
@@ -30,9 +34,18 @@
     val life: String,
     val term: Long,
     val haveFormersEnded: Boolean = false,
+    val era: Long = 0,
+    val isRestored: Boolean = false,
+    val isSettled: Boolean = false,
 ) {
     /** Whether the planner has resigned and has no successor yet. */
     val isVacant: Boolean get() = node.isEmpty()
+
+    /** Whether the assignments that are read with this record are those of its era. */
+    val hasAssignments: Boolean get() = era == 0L || isRestored
+
+    /** Whether no grant can be valid that neither the assignments nor the planner knows. */
+    val hasNoUnknownGrants: Boolean get() = era == 0L || isSettled
 }
 
 /**
@@ -54,22 +67,48 @@
     val capacity: HostCapacity get() = HostCapacity(capacityCores, linkMbps)
 }
 
-/** The state read from the routers' stream: the planner, the member routers and the assignments of all key ranges. */
+/**
+ * The state read from the routers' stream: the planner, the member routers and the assignments of all key ranges.
+ *
+ * A new era of the store has no planner until a router claims in it. The assignments are those of the latest era in which they have been
+ * written completely.
+ */
 internal class ClusterState(
     private val timer: TimerService,
     private val events: EventLog,
 ) : StreamListener {
-    private val ranges = HashMap<String, TreeMap<Int, Assignment>>()
+    private val rangesByEra = TreeMap<Long, HashMap<String, TreeMap<Int, Assignment>>>()
+    private val planners = TreeMap<Long, PlannerTerm>()
     private val members = HashMap<String, RouterMember>()
+
+    /** The nodes whose membership records were read in this era. */
+    private val recordedMembers = HashSet<String>()
+    private val ranges: Map<String, TreeMap<Int, Assignment>> get() = rangesByEra[assignmentsEra].orEmpty()
+    private var plannerBeforeEra: PlannerTerm? = null
+    private var isFirstSnapshotOfEra = false
+    private val eraListeners = ArrayList<() -> Unit>()
     private val changedAtMs = HashMap<Pair<String, Int>, Long>()
     private val listeners = ArrayList<() -> Unit>()
     private val recentRecords = ArrayDeque<KeyedRecord>()
     private val readOffset = MutableStateFlow<Long?>(null)
 
-    /** The latest planner record, or null before the first one. */
-    var planner: PlannerTerm? = null
+    /** The era of the store in which the stream was read up to [endOffset]. */
+    var era = 0L
         private set
 
+    /** The latest planner record of [era], or null before the first one. */
+    val planner: PlannerTerm? get() = planners[era]
+
+    /** The planners of older eras that may still act: the last one that is recorded, and the one that this router knew before [era]. */
+    val plannersOfOlderEras: List<PlannerTerm>
+        get() = listOfNotNull(planners.lowerEntry(era)?.value, plannerBeforeEra).filterNot { it.isVacant }.distinct()
+
+    /** Whether any planner has been recorded, in this era or an older one. */
+    val hasHadPlanner: Boolean get() = planners.isNotEmpty() || plannerBeforeEra != null
+
+    /** The latest era in which the assignments have been written. */
+    private val assignmentsEra: Long get() = planners.descendingMap().values.firstOrNull { it.isRestored }?.era ?: 0
+
     /** When this router read the latest planner record, or null before the first one. */
     var plannerReadAtMs: Long? = null
         private set
@@ -86,8 +125,8 @@
     /** The names of the routers that have ever been members. */
     val nodes: Set<String> get() = members.keys
 
-    /** Returns whether the stream contains a record equal to [member]. */
-    fun hasMember(member: RouterMember): Boolean = members[member.node] == member
+    /** Returns whether the stream contains a record equal to [member] in this era of the store. */
+    fun hasMember(member: RouterMember): Boolean = member.node in recordedMembers && members[member.node] == member
 
     /** Returns the relay address of the planner, or null if it is not known or the planner is [exceptNode]. */
     fun plannerRelay(exceptNode: String): SocketAddress? = planner?.node?.takeIf { it != exceptNode }?.let(::relayOf)
@@ -108,6 +147,19 @@
         listeners += listener
     }
 
+    /** Registers [listener] to be called when a new era begins, while the state is still that of the former one. */
+    fun onEraEnding(listener: () -> Unit) {
+        eraListeners += listener
+    }
+
+    /** Returns the records that remove the assignments and planners of older eras from the stream. */
+    fun removalsOfOlderEras(): List<KeyedChange> {
+        val ranges = rangesByEra.headMap(era).flatMap { (olderEra, services) ->
+            services.flatMap { (service, assignments) -> assignments.keys.map { rangeRemoval(service, it, olderEra) } }
+        }
+        return ranges + planners.headMap(era).keys.map { KeyedChange(RecordKey(RecordKey.PLANNER, it).toString(), null) }
+    }
+
     /** Returns the assignment of [service] that contains [key], or null. */
     fun find(service: String, key: Int): Assignment? = ranges[service]?.floorEntry(key)?.value?.takeIf { key <= it.to }
 
@@ -120,10 +172,20 @@
     /** Returns when this router read the current record of the range of [assignment], or null. */
     fun readAtMs(assignment: Assignment): Long? = changedAtMs[assignment.service to assignment.from]
 
+    override fun onNewEra(era: Long) {
+        eraListeners.forEach { it() }
+        plannerBeforeEra = planner ?: plannerBeforeEra
+        this.era = era
+        isFirstSnapshotOfEra = true
+    }
+
     override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
-        ranges.clear()
-        members.clear()
-        planner = null
+        rangesByEra.clear()
+        planners.clear()
+        recordedMembers.clear()
+        // Routers whose membership records were lost are still running. They must be found, and have their part of the shared limits.
+        if (!isFirstSnapshotOfEra) members.clear()
+        isFirstSnapshotOfEra = false
         records.forEach(::applyRecord)
         recentRecords.clear()
         readOffset.value = endOffset
@@ -154,37 +216,52 @@
     private fun notifyListeners() = listeners.forEach { it() }
 
     private fun applyRecord(record: KeyedRecord) {
-        val kind = record.key.substringBefore('/')
-        when (kind) {
-            PLANNER -> decode(record, PlannerTerm.serializer())?.let(::applyPlanner)
-            MEMBER -> decode(record, RouterMember.serializer())?.let { members[it.node] = it }
-            RANGE -> applyRange(record)
+        val key = RecordKey.of(record.key)
+        when (key.kind) {
+            RecordKey.PLANNER -> applyPlannerRecord(record, key.era)
+            RecordKey.MEMBER -> decode(record, RouterMember.serializer())?.let {
+                members[it.node] = it
+                recordedMembers += it.node
+            }
+            RecordKey.RANGE -> applyRange(record, key.era)
             else -> reject(record, "expected a key of a planner, member or range record")
         }
     }
 
-    private fun applyPlanner(newer: PlannerTerm) {
-        if (planner == newer) return
-        planner = newer
+    private fun applyPlannerRecord(record: KeyedRecord, recordEra: Long) {
+        if (record.value == null) planners -= recordEra
+        val newer = decode(record, PlannerTerm.serializer()) ?: return
+        if (newer.era != recordEra) return reject(record, "expected the era of the record key, found ${newer.era}")
+        val previous = planners.put(recordEra, newer)
+        if (previous == newer || recordEra != era) return
         plannerReadAtMs = timer.nowMs()
         events.log(Events.PLANNER_SEEN) {
             put("planner", newer.node)
             put("term", newer.term)
+            if (newer.era > 0) put("era", newer.era)
         }
     }
 
-    private fun applyRange(record: KeyedRecord) {
+    private fun applyRange(record: KeyedRecord, recordEra: Long) {
+        if (recordEra < assignmentsEra && record.value != null) logVoid(record, recordEra)
         val service = record.key.substringAfter('/').substringBeforeLast('/')
         val from = record.key.substringAfterLast('/').toIntOrNull()
             ?: return reject(record, "expected the first key of the range after the last slash of the record key")
         changedAtMs[service to from] = timer.nowMs()
         if (record.value == null) {
-            ranges[service]?.remove(from)
+            rangesByEra[recordEra]?.get(service)?.remove(from)
             return
         }
         val assignment = decode(record, Assignment.serializer()) ?: return
         if (!isValid(assignment, service, from)) return reject(record, "expected a range of keys in order with holders that have addresses")
-        ranges.getOrPut(service) { TreeMap() }[from] = assignment
+        rangesByEra.getOrPut(recordEra) { HashMap() }.getOrPut(service) { TreeMap() }[from] = assignment
+    }
+
+    private fun logVoid(record: KeyedRecord, recordEra: Long) = events.log(Events.RANGE_VOID) {
+        put("key", record.key)
+        put("offset", record.offset)
+        put("era", recordEra)
+        put("assignments_era", assignmentsEra)
     }
 
     private fun isValid(assignment: Assignment, service: String, from: Int): Boolean {
@@ -213,9 +290,6 @@
     }
 
     companion object {
-        private const val PLANNER = "planner"
-        private const val MEMBER = "member"
-        private const val RANGE = "range"
         private const val KEY_DIGITS = 5
 
         /** Records that are kept for other routers to read. */
@@ -223,19 +297,20 @@
         private val JSON = Json { ignoreUnknownKeys = true }
 
         /** Returns the planner record for [term]. */
-        fun plannerChange(term: PlannerTerm) = KeyedChange(PLANNER, encode(PlannerTerm.serializer(), term))
+        fun plannerChange(term: PlannerTerm) = KeyedChange(RecordKey(RecordKey.PLANNER, term.era).toString(), encode(PlannerTerm.serializer(), term))
 
         /** Returns the membership record for [member]. */
-        fun memberChange(member: RouterMember) = KeyedChange("$MEMBER/${member.node}", encode(RouterMember.serializer(), member))
+        fun memberChange(member: RouterMember) = KeyedChange("${RecordKey.MEMBER}/${member.node}", encode(RouterMember.serializer(), member))
 
-        /** Returns the record that sets [assignment]. */
-        fun rangeChange(assignment: Assignment) =
-            KeyedChange(rangeKey(assignment.service, assignment.from), encode(Assignment.serializer(), assignment))
+        /** Returns the record that sets [assignment] in [era] of the store. */
+        fun rangeChange(assignment: Assignment, era: Long = 0) =
+            KeyedChange(rangeKey(assignment.service, assignment.from, era), encode(Assignment.serializer(), assignment))
 
-        /** Returns the record that removes the range of [service] that starts at [from]. */
-        fun rangeRemoval(service: String, from: Int) = KeyedChange(rangeKey(service, from), null)
+        /** Returns the record that removes the range of [service] that starts at [from] in [era] of the store. */
+        fun rangeRemoval(service: String, from: Int, era: Long = 0) = KeyedChange(rangeKey(service, from, era), null)
 
-        private fun rangeKey(service: String, from: Int) = "$RANGE/$service/${from.toString().padStart(KEY_DIGITS, '0')}"
+        private fun rangeKey(service: String, from: Int, era: Long) =
+            "${RecordKey(RecordKey.RANGE, era)}/$service/${from.toString().padStart(KEY_DIGITS, '0')}"
 
         private fun <T> encode(serializer: KSerializer<T>, value: T) = JSON.encodeToString(serializer, value).toByteArray()
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -1,5 +1,6 @@
 package yuccaflow.entry.keys
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -56,8 +57,21 @@
     private var balancedAtMs = 0L
     private var hasResigned = false
 
+    /** The assignments with which this router continues as planner in a new era of the store, or null. */
+    private var continued: ContinuedAssignments? = null
+
     init {
         clusterState.onChange { wakeUp.trySend(Unit) }
+        clusterState.onEraEnding(::keepForNewEra)
+    }
+
+    /**
+     * Keeps what this router knows as acting planner, because the new era may lack it. Its authority is valid, so nobody else can have
+     * moved keys: a successor waits for longer than the authority lasts.
+     */
+    private fun keepForNewEra() {
+        val known = if (clusterState.planner?.hasAssignments == true) allAssignments() else continued?.assignments
+        continued = known?.takeIf { !hasResigned && dependencies.authority.continueInNewEra() }?.let { ContinuedAssignments(it, timer.nowMs()) }
     }
 
     /** Stops calling targets and lets another router take over. Continues as planner if the store rejects the resignation. */
@@ -69,7 +83,10 @@
 
     override fun hasAuthority(): Boolean = !hasResigned && dependencies.authority.isValid()
 
-    override fun mayMoveKeys(): Boolean = hasAuthority() && timer.nowMs() >= dependencies.election.movesAllowedAtMs
+    override fun mayMoveKeys(): Boolean = hasAuthority() &&
+        dependencies.authority.isRecordedPlanner &&
+        dependencies.election.isStateOfLatestEra() &&
+        timer.nowMs() >= dependencies.election.movesAllowedAtMs
 
     override fun formerGrantsEndAtMs(generation: Long): Long = dependencies.election.formerGrantsEndAtMs(generation)
 
@@ -85,18 +102,54 @@
             withTimeoutOrNull(settings.planIntervalMs) { wakeUp.receive() }
             if (confirmedMoves.isNotEmpty()) timer.sleep(settings.confirmationBatchDelayMs)
             dependencies.directory.removeExpired()
-            if (hasResigned || !dependencies.authority.isRecordedPlanner) {
-                grantManager.stop()
-                confirmedMoves.clear()
-                dependencies.election.claimIfCandidate()
-            } else {
-                dependencies.election.adoptTerm()
-                grantManager.reconcile(this, clusterState.services().flatMap { clusterState.ofService(it) })
-                if (hasAuthority() && !recordFormersEnded()) planServices()
+            val toContinue = continued?.takeIf { !hasResigned && dependencies.authority.isContinuing() }
+            when {
+                toContinue != null -> dependencies.election.continueTerm(toContinue.assignments, toContinue.learnedAtMs)
+                hasResigned || !dependencies.authority.isRecordedPlanner -> {
+                    stopActing()
+                    dependencies.election.claimIfCandidate()
+                }
+                clusterState.planner?.hasAssignments == false -> {
+                    stopActing()
+                    restoreAssignments()
+                }
+                else -> actAsPlanner(this)
             }
         }
     }
 
+    private fun stopActing() {
+        grantManager.stop()
+        confirmedMoves.clear()
+        continued = null
+        dependencies.authority.endContinuation()
+        dependencies.election.abandonContinuation()
+    }
+
+    private suspend fun actAsPlanner(scope: CoroutineScope) {
+        dependencies.election.adoptTerm()
+        grantManager.reconcile(scope, allAssignments())
+        if (hasAuthority() && dependencies.election.isStateOfLatestEra() && !recordFormersEnded()) planServices()
+    }
+
+    private suspend fun restoreAssignments() {
+        dependencies.election.adoptTerm()
+        val end = clusterState.endOffset
+        if (end != null && hasAuthority() && dependencies.election.restoreAssignments(withoutOverlaps(allAssignments()))) awaitEndAfter(end)
+    }
+
+    private fun allAssignments(): List<Assignment> = clusterState.services().flatMap { clusterState.ofService(it) }
+
+    /** Cuts ranges that overlap. Appends of an older era that were executed late may have left such ranges. */
+    private fun withoutOverlaps(assignments: List<Assignment>): List<Assignment> = assignments.groupBy { it.service }.values.flatMap { ranges ->
+        var next = FIRST_KEY
+        ranges.sortedBy { it.from }.mapNotNull { range ->
+            val from = maxOf(range.from, next)
+            next = maxOf(next, range.to + 1)
+            range.copy(from = from).takeIf { from <= range.to }
+        }
+    }
+
     private suspend fun recordFormersEnded(): Boolean {
         val end = clusterState.endOffset ?: return false
         return dependencies.election.recordFormersEnded().also { if (it) awaitEndAfter(end) }
@@ -117,9 +170,10 @@
         val current = clusterState.ofService(service)
         val targets = targetsOf(service)
         if (current.isEmpty() && !areTargetsStable(service, targets)) return false
-        val batch = AssignmentBatch(service, current)
+        val batch = AssignmentBatch(service, current, clusterState.era)
         confirmedMoves.retainAll(current.toSet() + confirmedMoves.filter { it.service != service })
         confirmedMoves.filter { it.service == service }.forEach(batch::confirm)
+        if (!dependencies.election.mayAssign()) return append(batch)
         grantManager.fencedAssignments().filter { it.service == service }.forEach(batch::renewGeneration)
         val balancer = KeyRangeBalancer(service, targets, current, dependencies.loads.windowOf(service).sortedKeys(), busyLoad())
         val necessary = balancer.necessaryMoves()
@@ -204,6 +258,12 @@
         return holders.isNotEmpty() && timer.nowMs() - observed.second >= settings.initialStabilityMs
     }
 
+    /** The [assignments] of a planner that learned at [learnedAtMs] of a new era of the store. */
+    private class ContinuedAssignments(
+        val assignments: List<Assignment>,
+        val learnedAtMs: Long,
+    )
+
     private companion object {
         /** Fraction of a target's slots in use above which queueing noticeably delays its answers. */
         const val BUSY_SLOT_FRACTION = 0.5
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
@@ -20,7 +20,7 @@
     private val startedAtMs = timer.nowMs()
 
     /** Returns whether this router should be a member of the group from which the planner is chosen. */
-    fun stands(): Boolean = if (clusterState.planner == null) standsInFirstElection() else isLargeHost() || isPlannerSilent()
+    fun stands(): Boolean = if (!clusterState.hasHadPlanner) standsInFirstElection() else isLargeHost() || isPlannerSilent()
 
     /**
      * Whether this router stands for the first planner of the system. In the first moments, the capacities of the other hosts are not
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -3,9 +3,11 @@
 import yuccaflow.base.TimerService
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
+import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.RouterGroup
+import yuccaflow.entry.store.StoreEra
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 
@@ -42,13 +44,19 @@
     private val timer: TimerService,
     private val settings: KeyOwnershipSettings,
     private val events: EventLog,
+    private val storeEra: StoreEra = StoreEra(events),
 ) {
     private val member = memberName(node, incarnation)
     private var membership: JoinResult.Joined? = null
     private var joinedAtMs = 0L
     private var candidateSinceMs: Long? = null
     private var isDisconnected = false
-    private var currentTerm = 0L
+
+    /** The era and the number of the term that this router has started last. */
+    private var currentTerm = 0L to 0L
+
+    /** The era and the number of the term in which this router wants to continue, from the append of its record on, or null. */
+    private var continuedTerm: Pair<Long, Long>? = null
     private var hasResigned = false
 
     /** When this router, as planner, may start to move keys, because the former planner can no longer call targets. */
@@ -57,11 +65,23 @@
 
     private var formerGrantsEndAtMs = Long.MAX_VALUE
 
-    /** The end of the stream when this router became the planner. */
-    private var termStartOffset = Long.MAX_VALUE
+    /** The highest generation that may have been set before this router became the planner. */
+    private var termStartGeneration = Long.MAX_VALUE
+
+    /** When the last grant of an older era that this router does not know has ended. */
+    private var unknownGrantsEndAtMs = Long.MIN_VALUE
 
     /** Returns when a former planner's last grant of [generation] expires, or [Long.MIN_VALUE] if the generation was set in this term. */
-    fun formerGrantsEndAtMs(generation: Long): Long = if (generation > termStartOffset) Long.MIN_VALUE else formerGrantsEndAtMs
+    fun formerGrantsEndAtMs(generation: Long): Long = if (generation > termStartGeneration) Long.MIN_VALUE else formerGrantsEndAtMs
+
+    /**
+     * Returns whether generations may be given out. After the loss of store records, another target may have a grant on any key that the
+     * assignments do not show, until the grants of older eras have ended.
+     */
+    fun mayAssign(): Boolean = timer.nowMs() >= unknownGrantsEndAtMs
+
+    /** Returns whether the state was read in the latest known era, so that changes may be derived from it and appended. */
+    fun isStateOfLatestEra(): Boolean = clusterState.era == storeEra.current
 
     /**
      * Maintains the group membership until cancelled or until this router resigns. The planner stays a member, because the others take a
@@ -93,7 +113,8 @@
         val own = clusterState.planner?.takeIf { isRecordedPlanner() }
         val end = clusterState.endOffset
         if (own != null && end != null) {
-            val vacancy = PlannerTerm(node = "", life = "", term = own.term + 1, haveFormersEnded = timer.nowMs() >= movesAllowedAtMs)
+            val haveFormersEnded = timer.nowMs() >= movesAllowedAtMs && own.hasNoUnknownGrants
+            val vacancy = own.copy(node = "", life = "", term = own.term + 1, haveFormersEnded = haveFormersEnded)
             val result = dependencies.store.append(KeyedStream.ROUTERS, listOf(ClusterState.plannerChange(vacancy)), end)
             // An append without an answer may have been executed, or may be executed seconds later.
             isReleased = result is KeyedAppendResult.Appended || result is KeyedAppendResult.Unknown
@@ -105,11 +126,26 @@
     /** Claims the planner record if this router is the one to do so. Returns true if it has become the planner. */
     suspend fun claimIfCandidate(): Boolean {
         val end = clusterState.endOffset ?: return false
-        if (hasResigned) return false
+        if (hasResigned || !isStateOfLatestEra()) return false
         val former = clusterState.planner
-        // An earlier incarnation of this router has certainly ended, so there is no need to probe it.
-        val mayClaim = former?.node == node || (isCandidate(isFirst = former == null) && !isAlive(former))
-        return mayClaim && claim(former, end)
+        val era = clusterState.era
+        val mayClaim = if (former == null && era > 0) mayClaimFirstOfEra() else mayReplace(former)
+        // The era may have changed during the calls above, and the end of the stream is one of the former era then.
+        return mayClaim && clusterState.era == era && isStateOfLatestEra() && claim(former, end)
+    }
+
+    /** An earlier incarnation of this router has certainly ended, so there is no need to probe it. */
+    private suspend fun mayReplace(former: PlannerTerm?): Boolean =
+        former?.node == node || (isCandidate(isFirst = former == null) && !isAlive(former))
+
+    /**
+     * Returns whether this router may be the first planner of a new era: none of the planners that may still act answers that it does. A
+     * former planner need not be the candidate, because the group still lists it, so that the candidate waits for it.
+     */
+    private suspend fun mayClaimFirstOfEra(): Boolean {
+        val (own, others) = clusterState.plannersOfOlderEras.partition { it.node == node }
+        if (own.isNotEmpty()) return others.none { dependencies.probe.isActing(it) }
+        return isCandidate(isFirst = !clusterState.hasHadPlanner) && others.none { isAlive(it) }
     }
 
     /**
@@ -132,35 +168,105 @@
     }
 
     private suspend fun claim(former: PlannerTerm?, end: Long): Boolean {
-        val term = PlannerTerm(node, incarnation, (former?.term ?: 0) + 1, haveFormersEnded = haveAllEnded(former))
+        val term = PlannerTerm(
+            node,
+            incarnation,
+            (former?.term ?: latestTermOfOlderEras()) + 1,
+            haveFormersEnded = haveAllEnded(former),
+            era = clusterState.era,
+            isRestored = former?.isRestored ?: false,
+            isSettled = former?.isSettled ?: false,
+        )
         val result = dependencies.store.append(KeyedStream.ROUTERS, listOf(ClusterState.plannerChange(term)), end)
         if (result !is KeyedAppendResult.Appended) return false
-        currentTerm = term.term
-        startTerm(former, end + 1)
+        currentTerm = term.era to term.term
+        startTerm(former, term, end + 1)
         dependencies.onClaimed()
         events.log(Events.PLANNER_CLAIMED) {
             put("term", term.term)
             put("former_planner", former?.node)
             put("end_offset", end)
             put("moves_allowed_in_ms", movesAllowedAtMs - timer.nowMs())
+            if (term.era > 0) {
+                put("era", term.era)
+                put("assigns_in_ms", (unknownGrantsEndAtMs - timer.nowMs()).coerceAtLeast(0))
+            }
         }
         return true
     }
 
-    /** Starts the term of a planner record that names this router although its append got no answer. */
+    private fun latestTermOfOlderEras(): Long = clusterState.plannersOfOlderEras.maxOfOrNull { it.term } ?: 0
+
+    /**
+     * Claims in a new era, as the planner that was acting when it began, and writes [assignments] with the claim. The times until which
+     * this router waits for former planners stay, because none of them can have learned of the claim. A former planner that this router
+     * had not read of may still act on a record that is lost now, so that new generations wait until its grants have ended.
+     */
+    suspend fun continueTerm(assignments: List<Assignment>, learnedAtMs: Long) {
+        val end = clusterState.endOffset
+        if (end == null || hasResigned || !isStateOfLatestEra() || clusterState.planner != null) return
+        val term = PlannerTerm(node, incarnation, latestTermOfOlderEras() + 1, era = clusterState.era, isRestored = true)
+        unknownGrantsEndAtMs = learnedAtMs + settings.unknownGrantsMs
+        continuedTerm = term.era to term.term
+        val changes = listOf(ClusterState.plannerChange(term)) + assignments.map { ClusterState.rangeChange(it, term.era) }
+        val result = dependencies.store.append(KeyedStream.ROUTERS, changes + clusterState.removalsOfOlderEras(), end)
+        if (result !is KeyedAppendResult.Appended) return
+        dependencies.onClaimed()
+        events.log(Events.PLANNER_CONTINUED) {
+            put("term", term.term)
+            put("era", term.era)
+            put("assignments", assignments.size)
+            put("end_offset", end)
+            put("assigns_in_ms", (unknownGrantsEndAtMs - timer.nowMs()).coerceAtLeast(0))
+        }
+    }
+
+    /** Gives up continuing the term of a former era, because this router has stopped renewing grants. */
+    fun abandonContinuation() {
+        continuedTerm = null
+    }
+
+    /** Starts the term of a planner record that names this router although its append got no answer, or that it continues in a new era. */
     fun adoptTerm() {
         val term = clusterState.planner ?: return
-        if (term.term == currentTerm) return
-        currentTerm = term.term
-        startTerm(PlannerTerm(UNKNOWN_NODE, "", 0), clusterState.endOffset ?: Long.MAX_VALUE)
+        val number = term.era to term.term
+        if (number == currentTerm) return
+        currentTerm = number
+        if (number == continuedTerm) return
+        startTerm(PlannerTerm(UNKNOWN_NODE, "", 0), term, clusterState.endOffset ?: Long.MAX_VALUE)
+    }
+
+    /**
+     * Writes the assignments of this era, in which this router is the planner, once all grants of older eras have ended. The latest known
+     * holders keep their keys, with new generations. Returns whether records were appended or may have been.
+     */
+    suspend fun restoreAssignments(latestKnown: List<Assignment>): Boolean {
+        val own = clusterState.planner?.takeIf { isRecordedPlanner() && !it.hasAssignments } ?: return false
+        val end = clusterState.endOffset ?: return false
+        if (!mayAssign() || !isStateOfLatestEra()) return false
+        val restored = latestKnown.mapIndexed { index, assignment ->
+            val generation = generationOf(own.era, end + 1 + index)
+            assignment.copy(generation = generation, formers = emptyList(), isMoving = true)
+        }
+        val settled = own.copy(haveFormersEnded = true, isRestored = true, isSettled = true)
+        val changes = listOf(ClusterState.plannerChange(settled)) + restored.map { ClusterState.rangeChange(it, own.era) }
+        dependencies.store.append(KeyedStream.ROUTERS, changes + clusterState.removalsOfOlderEras(), end)
+        events.log(Events.ASSIGNMENTS_RESTORED) {
+            put("era", own.era)
+            put("assignments", restored.size)
+            put("end_offset", end)
+        }
+        return true
     }
 
-    private fun startTerm(former: PlannerTerm?, endOffset: Long) {
+    /** Starts [term] after that of [former]. No generation was set in it up to [endOffset]. */
+    private fun startTerm(former: PlannerTerm?, term: PlannerTerm, endOffset: Long) {
         val nowMs = timer.nowMs()
-        termStartOffset = endOffset
+        termStartGeneration = if (endOffset == Long.MAX_VALUE) endOffset else generationOf(term.era, endOffset - 1)
+        unknownGrantsEndAtMs = if (term.hasNoUnknownGrants) Long.MIN_VALUE else nowMs + settings.unknownGrantsMs
         val formerEndsAtMs = if (haveAllEnded(former)) nowMs else nowMs + settings.maxAuthorityMs
         movesAllowedAtMs = formerEndsAtMs
-        formerGrantsEndAtMs = if (former == null) nowMs else formerEndsAtMs + settings.grantTimeoutMs + settings.maxGrantDurationMs
+        formerGrantsEndAtMs = if (former == null && term.era == 0L) nowMs else formerEndsAtMs + settings.grantTimeoutMs + settings.maxGrantDurationMs
     }
 
     /**
@@ -169,17 +275,18 @@
      * active.
      */
     private fun haveAllEnded(former: PlannerTerm?): Boolean =
-        former == null || ((former.isVacant || former.node == node) && former.haveFormersEnded)
+        if (former == null) clusterState.era == 0L else (former.isVacant || former.node == node) && former.haveFormersEnded
 
     /**
-     * Records that all former planners have ended, once that is certain, so that the next term of this router need not wait for them.
-     * Returns whether the record was appended or may have been.
+     * Records that all former planners, and in a new era their unknown grants, have ended, once that is certain, so that the next term need
+     * not wait for them. Returns whether the record was appended or may have been.
      */
     suspend fun recordFormersEnded(): Boolean {
-        val own = clusterState.planner?.takeIf { isRecordedPlanner() && !it.haveFormersEnded } ?: return false
+        val own = clusterState.planner?.takeIf { isRecordedPlanner() && !(it.haveFormersEnded && it.hasNoUnknownGrants) } ?: return false
         val end = clusterState.endOffset ?: return false
-        if (timer.nowMs() < movesAllowedAtMs) return false
-        dependencies.store.append(KeyedStream.ROUTERS, listOf(ClusterState.plannerChange(own.copy(haveFormersEnded = true))), end)
+        if (timer.nowMs() < movesAllowedAtMs || !mayAssign() || !isStateOfLatestEra()) return false
+        val ended = own.copy(haveFormersEnded = true, isSettled = own.era > 0)
+        dependencies.store.append(KeyedStream.ROUTERS, listOf(ClusterState.plannerChange(ended)), end)
         return true
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/FailoverStoreAccess.kt
@@ -58,7 +58,7 @@
     override suspend fun snapshot(stream: KeyedStream, onArriving: () -> Unit): SnapshotResult {
         val call = RelayCall.Snapshot(stream)
         return withFailover({ direct.snapshot(stream, onArriving) }, { it is SnapshotResult.Failed }) {
-            (callPeers(call) as? RelayAnswer.Records)?.let { SnapshotResult.Snapshot(it.records.toRecords(), it.endOffset) }
+            (callPeers(call) as? RelayAnswer.Records)?.let { SnapshotResult.Snapshot(it.records.toRecords(), it.endOffset, it.era) }
         }
     }
 
@@ -84,8 +84,8 @@
         val directly = suspend { direct.append(stream, changes, expectedEndOffset) }
         return withFailover(directly, { it is KeyedAppendResult.NotAppended }) {
             when (val answer = callPeers(call)) {
-                is RelayAnswer.Appended -> KeyedAppendResult.Appended(answer.firstOffset)
-                is RelayAnswer.Conflict -> KeyedAppendResult.Conflict(answer.endOffset)
+                is RelayAnswer.Appended -> KeyedAppendResult.Appended(answer.firstOffset, answer.era)
+                is RelayAnswer.Conflict -> KeyedAppendResult.Conflict(answer.endOffset, answer.era)
                 is RelayAnswer.Unknown -> KeyedAppendResult.Unknown(answer.reason)
                 else -> null
             }
@@ -164,7 +164,7 @@
         val relayed = hedgedRelay.send(call, waitMs) ?: return null
         recordRelayedCall(relayed.peer)
         return when (val answer = relayed.answer) {
-            is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
+            is RelayAnswer.Records -> StreamReadResult.Read(answer.records.toRecords(), answer.endOffset, answer.era)
             RelayAnswer.Expired -> StreamReadResult.Expired
             else -> null
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerBackedStore.kt
@@ -55,7 +55,7 @@
         call.cancel()
         if (answer is RelayAnswer.Records) {
             plannerSilentSinceMs = null
-            return@coroutineScope StreamReadResult.Read(answer.records.toRecords(), answer.endOffset)
+            return@coroutineScope StreamReadResult.Read(answer.records.toRecords(), answer.endOffset, answer.era)
         }
         if (answer != null) {
             bypassUntilMs = timer.nowMs() + BYPASS_MS
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerEndpoint.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerEndpoint.kt
@@ -22,7 +22,9 @@
         while (authority.isValid()) {
             val found = clusterState.recordsFrom(fromOffset) ?: return RelayAnswer.NotServed
             val remainingMs = endsAtMs - timer.nowMs()
-            if (found.isNotEmpty() || remainingMs <= 0) return RelayAnswer.Records(found.toRelayed(), clusterState.endOffset ?: fromOffset)
+            if (found.isNotEmpty() || remainingMs <= 0) {
+                return RelayAnswer.Records(found.toRelayed(), clusterState.endOffset ?: fromOffset, clusterState.era)
+            }
             clusterState.awaitEndAfter(fromOffset, minOf(remainingMs, AUTHORITY_CHECK_INTERVAL_MS))
         }
         return RelayAnswer.NotServed
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -92,10 +92,12 @@
 /** The answer to a [RelayCall]. */
 @Serializable
 internal sealed interface RelayAnswer {
+    /** Records that were read in [era] of the store. */
     @Serializable
     class Records(
         val records: List<RelayedRecord>,
         val endOffset: Long,
+        val era: Long = 0,
     ) : RelayAnswer
 
     @Serializable
@@ -104,11 +106,13 @@
     @Serializable
     class Appended(
         val firstOffset: Long,
+        val era: Long = 0,
     ) : RelayAnswer
 
     @Serializable
     class Conflict(
         val endOffset: Long,
+        val era: Long = 0,
     ) : RelayAnswer
 
     @Serializable
@@ -165,12 +169,14 @@
  * @property endOffset the offset of the next record.
  * @property ageMs how long ago the records before [endOffset] were last known to be all, or null if that is not known. Used only in
  * answers, because the time of a call's positions is unknown.
+ * @property era the era of the store in which the stream was read.
  */
 @Serializable
 internal class RelayedPosition(
     val stream: KeyedStream,
     val endOffset: Long,
     val ageMs: Long? = null,
+    val era: Long = 0,
 )
 
 @Serializable
@@ -195,19 +201,19 @@
 internal fun List<RelayedChange>.toChanges() = map { KeyedChange(it.key, it.value) }
 
 internal fun SnapshotResult.toAnswer(): RelayAnswer = when (this) {
-    is SnapshotResult.Snapshot -> RelayAnswer.Records(records.toRelayed(), endOffset)
+    is SnapshotResult.Snapshot -> RelayAnswer.Records(records.toRelayed(), endOffset, era)
     is SnapshotResult.Failed -> RelayAnswer.NotServed
 }
 
 internal fun StreamReadResult.toAnswer(): RelayAnswer = when (this) {
-    is StreamReadResult.Read -> RelayAnswer.Records(records.toRelayed(), endOffset)
+    is StreamReadResult.Read -> RelayAnswer.Records(records.toRelayed(), endOffset, era)
     StreamReadResult.Expired -> RelayAnswer.Expired
     is StreamReadResult.Failed -> RelayAnswer.NotServed
 }
 
 internal fun KeyedAppendResult.toAnswer(): RelayAnswer = when (this) {
-    is KeyedAppendResult.Appended -> RelayAnswer.Appended(firstOffset)
-    is KeyedAppendResult.Conflict -> RelayAnswer.Conflict(endOffset)
+    is KeyedAppendResult.Appended -> RelayAnswer.Appended(firstOffset, era)
+    is KeyedAppendResult.Conflict -> RelayAnswer.Conflict(endOffset, era)
     is KeyedAppendResult.NotAppended -> RelayAnswer.NotServed
     is KeyedAppendResult.Unknown -> RelayAnswer.Unknown(reason)
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/StreamPositions.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/StreamPositions.kt
@@ -14,7 +14,7 @@
     /** Returns the positions to send to another router. Streams that have not been read yet are left out. */
     fun current(): List<RelayedPosition> = followers.mapNotNull { follower ->
         val endOffset = follower.nextOffset ?: return@mapNotNull null
-        RelayedPosition(follower.stream, endOffset, ageMs = follower.freshAtMs?.let { timer.nowMs() - it })
+        RelayedPosition(follower.stream, endOffset, ageMs = follower.freshAtMs?.let { timer.nowMs() - it }, era = follower.era)
     }
 
     /**
@@ -24,7 +24,7 @@
     fun learn(positions: List<RelayedPosition>, determinedAfterMs: Long? = null) {
         for (position in positions.take(followers.size)) {
             val confirmedAtMs = position.ageMs?.let { ageMs -> determinedAfterMs?.minus(ageMs.coerceAtLeast(0)) }
-            followers.find { it.stream == position.stream }?.learnPosition(position.endOffset, confirmedAtMs)
+            followers.find { it.stream == position.stream }?.learnPosition(position.endOffset, confirmedAtMs, position.era)
         }
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
@@ -27,10 +27,14 @@
 
 /** Result of reading the latest record of each key. */
 sealed interface SnapshotResult {
-    /** The snapshot. Reading continues at [endOffset], but [records] may already include some records from beyond it. */
+    /**
+     * The snapshot, read in [era] of the store. Reading continues at [endOffset], but [records] may already include some records from
+     * beyond it.
+     */
     class Snapshot(
         val records: List<KeyedRecord>,
         val endOffset: Long,
+        val era: Long = 0,
     ) : SnapshotResult
 
     /** The read failed because of [reason]. */
@@ -43,14 +47,15 @@
 sealed interface StreamReadResult {
     /**
      * The records from the requested offset on. [records] are either all records up to the end of the stream at [endOffset] or only the
-     * first of them. They are empty if no record arrived during the wait.
+     * first of them. They are empty if no record arrived during the wait. They were read in [era] of the store.
      */
     class Read(
         val records: List<KeyedRecord>,
         val endOffset: Long,
+        val era: Long = 0,
     ) : StreamReadResult
 
-    /** The store no longer has the records at the offset, so the reader must start over from a snapshot. */
+    /** The store does not have the offset: it has dropped the records there, or lost them in a new era. So the reader must start over from a snapshot. */
     data object Expired : StreamReadResult
 
     /** The read failed because of [reason]. */
@@ -61,14 +66,16 @@
 
 /** Result of an append. */
 sealed interface KeyedAppendResult {
-    /** All records were appended, the first of them at [firstOffset]. */
+    /** All records were appended in [era] of the store, the first of them at [firstOffset]. */
     data class Appended(
         val firstOffset: Long,
+        val era: Long = 0,
     ) : KeyedAppendResult
 
-    /** Nothing was appended because the stream ends at [endOffset] instead of at the expected offset. */
+    /** Nothing was appended because the stream ends at [endOffset] in [era] of the store instead of at the expected offset. */
     data class Conflict(
         val endOffset: Long,
+        val era: Long = 0,
     ) : KeyedAppendResult
 
     /** Nothing was appended, and nothing will be. */
@@ -82,7 +89,10 @@
     ) : KeyedAppendResult
 }
 
-/** The platform's store of keyed streams. Reads and appends are linearizable. */
+/**
+ * The platform's store of keyed streams. Reads and appends are linearizable within an era. Its era rises when it is restored from a copy
+ * that lacks its last records; a call that is under way then may be executed in the new era.
+ */
 interface KeyedStore {
     /** Reads the latest record of each key of [stream]. [onArriving] is called whenever a part of the answer arrives. */
     suspend fun snapshot(stream: KeyedStream, onArriving: () -> Unit = {}): SnapshotResult
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StreamFollower.kt
@@ -29,8 +29,13 @@
     private val events: EventLog,
     private val listener: StreamListener,
     private val random: Random = Random,
+    private val storeEra: StoreEra = StoreEra(events),
     private val settings: () -> FollowerSettings,
 ) : StreamFreshness {
+    /** The era of the store in which the stream was read up to [nextOffset]. */
+    var era = 0L
+        private set
+
     /** When the last read that reached the end of the stream was started, or null if there was none. */
     var confirmedAtMs: Long? = null
         private set
@@ -72,10 +77,12 @@
 
     /**
      * Records that another router has passed on the records before [endOffset], and that these were all records at [confirmedAtMs], or at
-     * an unknown time if that is null. Requests a read as [refresh] does if this follower has fewer records.
+     * an unknown time if that is null. Requests a read as [refresh] does if this follower has fewer records. A position of another [era]
+     * is not compared.
      */
-    fun learnPosition(endOffset: Long, confirmedAtMs: Long?) {
-        val next = nextOffset ?: return
+    fun learnPosition(endOffset: Long, confirmedAtMs: Long?, era: Long = 0) {
+        storeEra.learn(era, EraSource.ROUTER, stream)
+        val next = nextOffset?.takeIf { era == this.era } ?: return
         if (endOffset > next) {
             reportedEnd = ReportedEnd(endOffset, timer.nowMs())
             confirmedAtMs?.let(::recordMissing)
@@ -116,10 +123,13 @@
             when (val result = store.snapshot(stream) { if (nextOffset != null) recordMissing(timer.nowMs()) }) {
                 is SnapshotResult.Snapshot -> {
                     onAnswered()
+                    storeEra.learn(result.era, EraSource.STORE, stream)
+                    if (result.era > era) beginEra(result.era)
                     events.log(Events.STREAM_SNAPSHOT) {
                         put("stream", stream.name)
                         put("records", result.records.size)
                         put("end_offset", result.endOffset)
+                        if (era > 0) put("era", era)
                     }
                     listener.onSnapshot(result.records, result.endOffset, freshAtMs)
                     nextOffset = result.endOffset
@@ -131,15 +141,27 @@
         }
     }
 
-    /** Reads the following records. Returns when the store no longer has the next ones, or when a new snapshot is less to read. */
+    private fun beginEra(newEra: Long) {
+        era = newEra
+        // Both were reported by offsets of the former era.
+        reportedEnd = null
+        latestMissingAtMs = null
+        listener.onNewEra(newEra)
+    }
+
+    /**
+     * Reads the following records. Returns when the store does not have the next ones, when a new snapshot is less to read, or when there
+     * is a newer era.
+     */
     private suspend fun follow() {
         var isCaughtUp = false
-        while (true) {
+        while (storeEra.current <= era) {
             val next = checkNotNull(nextOffset) { "expected a snapshot before the records that follow it" }
             val waitMs = if (isCaughtUp) drawWaitMs() else minOf(settings().waitMs, settings().catchUpWaitMs)
-            val (result, startedAtMs) = readNext(next, waitMs)
+            val (result, startedAtMs) = readNext(next, waitMs) ?: return
             when (result) {
                 is StreamReadResult.Read -> {
+                    if (result.era != era) return
                     onRead(result, next, startedAtMs)
                     if (hasLargeBacklog(result)) return logBacklog(result)
                     isCaughtUp = result.records.isEmpty()
@@ -184,14 +206,17 @@
 
     /**
      * Waits up to [waitMs] for the records from [from] on, and reads them without a wait where there is a reason to. The first of the two
-     * whose answer shows records ends the other one, because both answers would take the same link.
+     * whose answer shows records ends the other one, because both answers would take the same link. Returns null if a newer era of the
+     * store becomes known.
      */
-    private suspend fun readNext(from: Long, waitMs: Long): TimedRead = coroutineScope {
+    private suspend fun readNext(from: Long, waitMs: Long): TimedRead? = coroutineScope {
         val waitHasRecords = CompletableDeferred<Unit>()
         val missedHasRecords = CompletableDeferred<Unit>()
         val wait = async { read(from, waitMs) { waitHasRecords.complete(Unit) } }
         val missed = async { readMissed(from, waitMs) { missedHasRecords.complete(Unit) } }
-        select {
+        val newerEra = async { storeEra.awaitNewerThan(era) }
+        select<TimedRead?> {
+            newerEra.onAwait { null }
             wait.onAwait { it }
             missed.onAwait { it }
             waitHasRecords.onAwait {
@@ -205,6 +230,7 @@
         }.also {
             wait.cancel()
             missed.cancel()
+            newerEra.cancel()
         }
     }
 
@@ -231,7 +257,7 @@
             if (reason == ReadReason.RECHECK) recheckAtMs = null
             val read = read(from, waitMs = 0, onRecordsArriving)
             val result = read.result
-            if (result !is StreamReadResult.Read) return read
+            if (result !is StreamReadResult.Read || result.era != era) return read
             if (result.records.isNotEmpty()) {
                 logMissed(reason, waitStartedAtMs)
                 return read
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/view/ClusterSnapshot.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/view/ClusterSnapshot.kt
@@ -5,8 +5,11 @@
 import kotlinx.serialization.json.Json
 import yuccaflow.entry.keys.Assignment
 import yuccaflow.entry.keys.PlannerTerm
+import yuccaflow.entry.keys.RecordKey
 import yuccaflow.entry.keys.RouterMember
+import yuccaflow.entry.keys.offsetOf
 import yuccaflow.entry.store.KeyedRecord
+import java.util.TreeMap
 
 /** The contents of the routers' stream up to [endOffset]: the planner, the member routers and the assignments of key ranges. */
 internal class ClusterSnapshot(
@@ -36,8 +39,7 @@
         address = assignment.holder.address,
         holderBornMs = assignment.holder.bornMs,
         generation = assignment.generation,
-        // The generation is one higher than the offset of the record that set it.
-        ageRecords = (endOffset - assignment.generation).coerceAtLeast(0),
+        ageRecords = (endOffset - 1 - offsetOf(assignment.generation)).coerceAtLeast(0),
         isMoving = assignment.isMoving,
         formers = assignment.formers.map { ListedFormerHolder(it.holder.target, it.generation) },
     )
@@ -47,21 +49,24 @@
 internal fun clusterSnapshotOf(newest: NewestRecords): ClusterSnapshot = ClusterSnapshotDecoder().decode(newest)
 
 private class ClusterSnapshotDecoder {
-    private var planner: PlannerTerm? = null
+    private val planners = TreeMap<Long, PlannerTerm>()
     private val members = ArrayList<RouterMember>()
-    private val assignments = ArrayList<Assignment>()
+    private val assignmentsByEra = HashMap<Long, ArrayList<Assignment>>()
     private val rejected = ArrayList<RejectedRecord>()
 
     fun decode(newest: NewestRecords): ClusterSnapshot {
         newest.records.forEach(::decodeRecord)
-        return ClusterSnapshot(newest.endOffset, planner, members, assignments, rejected)
+        val assignmentsEra = planners.descendingMap().values.firstOrNull { it.isRestored }?.era ?: 0
+        val planner = planners.lastEntry()?.value
+        return ClusterSnapshot(newest.endOffset, planner, members, assignmentsByEra[assignmentsEra].orEmpty(), rejected)
     }
 
     private fun decodeRecord(record: KeyedRecord) {
-        when (record.key.substringBefore('/')) {
-            "planner" -> decode(record, PlannerTerm.serializer())?.let { planner = it }
-            "member" -> decode(record, RouterMember.serializer())?.let(members::add)
-            "range" -> decode(record, Assignment.serializer())?.let(assignments::add)
+        val key = RecordKey.of(record.key)
+        when (key.kind) {
+            RecordKey.PLANNER -> decode(record, PlannerTerm.serializer())?.let { planners[key.era] = it }
+            RecordKey.MEMBER -> decode(record, RouterMember.serializer())?.let(members::add)
+            RecordKey.RANGE -> decode(record, Assignment.serializer())?.let { assignmentsByEra.getOrPut(key.era) { ArrayList() } += it }
             else -> rejected += rejectedRecord(record, "expected a key of a planner, member or range record")
         }
     }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -27,6 +27,30 @@
     var maxListedMembers = Int.MAX_VALUE
     var isDown = false
 
+    /** The number of times that the store has lost its last records. */
+    var era = 0L
+        private set
+
+    /** The ends of the streams in the copy from which [loseSinceCopy] restores the store. */
+    private var copiedEnds = records.mapValues { 0 }
+
+    /** Takes the copy from which the store is restored by [loseSinceCopy]. */
+    fun takeCopy() {
+        copiedEnds = records.mapValues { it.value.size }
+    }
+
+    /**
+     * Loses what was appended since the copy. Returns the lost records of the operators and the targets, which are to be written again with
+     * [append]. Calls that are under way are executed on the restored store.
+     */
+    fun loseSinceCopy(): Map<KeyedStream, List<KeyedRecord>> {
+        val lost = records.mapValues { (stream, list) -> list.drop(copiedEnds.getValue(stream)) }
+        records.forEach { (stream, list) -> while (list.size > copiedEnds.getValue(stream)) list.removeLast() }
+        era++
+        version.value++
+        return lost - KeyedStream.ROUTERS
+    }
+
     fun append(stream: KeyedStream, changes: List<KeyedChange>): Long {
         val list = records.getValue(stream)
         val first = list.size.toLong()
@@ -72,6 +96,7 @@
                 .getValue(stream)
                 .size
                 .toLong(),
+            data.era,
         )
     }
 
@@ -79,9 +104,11 @@
         delay(callMs)
         if (!isReachable()) return StreamReadResult.Failed("disconnected")
         val list = data.records.getValue(stream)
-        withTimeoutOrNull(waitMs) { data.version.first { list.size > fromOffset } }
+        val eraAtStart = data.era
+        withTimeoutOrNull(waitMs) { data.version.first { list.size > fromOffset || data.era != eraAtStart } }
         if (!isReachable()) return StreamReadResult.Failed("disconnected")
-        return StreamReadResult.Read(list.drop(fromOffset.toInt()), list.size.toLong())
+        if (fromOffset > list.size) return StreamReadResult.Expired
+        return StreamReadResult.Read(list.drop(fromOffset.toInt()), list.size.toLong(), data.era)
     }
 
     override suspend fun append(stream: KeyedStream, changes: List<KeyedChange>, expectedEndOffset: Long?): KeyedAppendResult {
@@ -91,11 +118,12 @@
             .getValue(stream)
             .size
             .toLong()
-        if (expectedEndOffset != null && expectedEndOffset != end) return KeyedAppendResult.Conflict(end)
+        if (expectedEndOffset != null && expectedEndOffset != end) return KeyedAppendResult.Conflict(end, data.era)
         val first = data.append(stream, changes)
+        val era = data.era
         isDisconnected = isDisconnected || disconnectsAfterAppend
         delay(callMs)
-        return if (losesAppendAnswers) KeyedAppendResult.Unknown("answer lost") else KeyedAppendResult.Appended(first)
+        return if (losesAppendAnswers) KeyedAppendResult.Unknown("answer lost") else KeyedAppendResult.Appended(first, era)
     }
 
     override suspend fun join(member: String, generation: Long, ttlMs: Long): JoinResult {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerSimulation.kt
@@ -111,10 +111,23 @@
         data.append(KeyedStream.TARGETS, listOf(KeyedChange(target.entry.id, null)))
     }
 
+    /** Lets the store lose the records since its copy. What operators and targets wrote is written again after up to [MAX_REWRITE_DELAY_MS]. */
+    fun loseRecords() {
+        data.loseSinceCopy().forEach { (stream, records) ->
+            records.forEach { record ->
+                scope.launch {
+                    delay(random.nextLong(MAX_REWRITE_DELAY_MS))
+                    data.append(stream, listOf(KeyedChange(record.key, record.value)))
+                }
+            }
+        }
+    }
+
     fun close() = scope.cancel()
 
     private companion object {
         const val SAMPLING_STEP = 256
+        const val MAX_REWRITE_DELAY_MS = 1_500L
     }
 }
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
@@ -10,8 +10,10 @@
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.SuspendableProcess
+import yuccaflow.entry.store.EraCheckedStore
 import yuccaflow.entry.store.FollowerSettings
 import yuccaflow.entry.store.KeyedStream
+import yuccaflow.entry.store.StoreEra
 import yuccaflow.entry.store.StreamFollower
 
 /** One incarnation of a router with its planner only, on top of fakes. */
@@ -30,19 +32,21 @@
     private val operators = OperatorState(FakeRecords, timer, log)
     private val directory: TargetDirectory = TargetDirectory(FakeRecords, operators, timer, log) { targetsFollower.failedAtMs }
     val clusterState = ClusterState(timer, log)
-    private val operatorsFollower = StreamFollower(store, KeyedStream.OPERATORS, timer, log, operators) { FollowerSettings() }
+    private val storeEra = StoreEra(log)
+    private val checkedStore = EraCheckedStore(store, storeEra)
+    private val operatorsFollower = StreamFollower(checkedStore, KeyedStream.OPERATORS, timer, log, operators, storeEra = storeEra) { FollowerSettings() }
     private val targetsFollower: StreamFollower =
-        StreamFollower(store, KeyedStream.TARGETS, timer, log, directory) { FollowerSettings() }
-    private val clusterStateFollower: StreamFollower = StreamFollower(store, KeyedStream.ROUTERS, timer, log, clusterState) {
+        StreamFollower(checkedStore, KeyedStream.TARGETS, timer, log, directory, storeEra = storeEra) { FollowerSettings() }
+    private val clusterStateFollower: StreamFollower = StreamFollower(checkedStore, KeyedStream.ROUTERS, timer, log, clusterState, storeEra = storeEra) {
         FollowerSettings(waitMs = if (authority.isRecordedPlanner) settings.authorityReadWaitMs else FollowerSettings().waitMs)
     }
     val authority: PlannerAuthority =
         PlannerAuthority(node, incarnation, clusterState, timer, process::timeOfDayMs, settings, log) { clusterStateFollower.confirmedAtMs }
     private val election =
-        PlannerElection(node, incarnation, ElectionDependencies(store, store, probe) { }, clusterState, timer, settings, log)
+        PlannerElection(node, incarnation, ElectionDependencies(store, checkedStore, probe) { }, clusterState, timer, settings, log, storeEra)
     private val planner = KeyPlanner(
         PlannerDependencies(
-            store = store,
+            store = checkedStore,
             clusterState = clusterState,
             operators = operators,
             directory = directory,
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedTargets.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedTargets.kt
@@ -29,6 +29,12 @@
         val generation: Long,
     )
 
+    /** A [range] that [target] has been granted at least once. */
+    private data class GrantedRange(
+        val target: String,
+        val range: FencedKeyRange,
+    )
+
     inner class Incarnation(
         val entry: TargetEntry,
     ) {
@@ -42,6 +48,7 @@
             removeGrants(range)
             heldGrants += HeldGrant(range.from, range.to, range.generation, untilMs)
             checkExclusive(this, range)
+            checkGeneration(entry.id, range)
             return true
         }
 
@@ -72,6 +79,8 @@
     val incarnations = ArrayList<Incarnation>()
     val violations = ArrayList<String>()
 
+    private val grantedRanges = HashSet<GrantedRange>()
+
     /** The share of calls that get no answer. Half of these calls are executed up to [MAX_EXECUTION_DELAY_MS] after they arrived. */
     var unansweredShare = 0.0
     var grantCount = 0
@@ -91,6 +100,15 @@
         }
     }
 
+    /** Records a violation if another target has been granted a key of [range] with the same generation or a higher one. */
+    private fun checkGeneration(target: String, range: FencedKeyRange) {
+        if (!grantedRanges.add(GrantedRange(target, range))) return
+        val others = grantedRanges.filter { it.target != target && it.range.from <= range.to && range.from <= it.range.to }
+        others.filter { it.range.generation >= range.generation }.forEach {
+            violations += "${timer.nowMs()} ms: $target was granted $range after ${it.target} had ${it.range}"
+        }
+    }
+
     /** Returns the client of one router. [isPartitioned] tells whether the router is cut off from the target with the given id. */
     fun grantClient(isPartitioned: (String) -> Boolean): KeyGrantClient = object : KeyGrantClient {
         override suspend fun grant(
