--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -46,10 +45,12 @@
 import yuccaflow.entry.routing.RouteFinder
 import yuccaflow.entry.routing.RoutingDependencies
 import yuccaflow.entry.routing.TargetClient
+import yuccaflow.entry.store.EraCheckedStore
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.RouterGroup
+import yuccaflow.entry.store.StoreEra
 import yuccaflow.entry.store.StreamFollower
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.EventLoopMonitor
@@ -121,21 +122,34 @@
     private val incarnationId = UUID.randomUUID().toString()
     private val directStoreAccess = DirectStoreAccess(platform.store, platform.group, timer, events)
     private val relayClient = RelayClient(platform.relayClient)
-    private val storeAccess = FailoverStoreAccess(directStoreAccess, relayClient, ::relayAddresses, timer, events)
+    private val failoverAccess = FailoverStoreAccess(directStoreAccess, relayClient, ::relayAddresses, timer, events)
+    private val storeEra = StoreEra(events)
+    private val storeAccess = EraCheckedStore(failoverAccess, storeEra)
     private val operators = OperatorState(platform.decoder, timer, events)
     private val directory: TargetDirectory =
         TargetDirectory(platform.decoder, operators, timer, events) { targetsFollower.failedAtMs }
     private val clusterState = ClusterState(timer, events)
     private val waits = FollowerWaits(timer, directStoreAccess, keyOwnershipSettings) { authority.isRecordedPlanner }
     private val operatorsFollower =
-        StreamFollower(storeAccess, KeyedStream.OPERATORS, timer, events, operators) { waits.ofPromptStream(OPERATORS_BATCH_DELAY_MS) }
+        StreamFollower(storeAccess, KeyedStream.OPERATORS, timer, events, operators, storeEra = storeEra) {
+            waits.ofPromptStream(OPERATORS_BATCH_DELAY_MS)
+        }
     private val targetsFollower: StreamFollower =
-        StreamFollower(storeAccess, KeyedStream.TARGETS, timer, events, directory) { waits.ofPromptStream(TARGETS_BATCH_DELAY_MS) }
+        StreamFollower(storeAccess, KeyedStream.TARGETS, timer, events, directory, storeEra = storeEra) {
+            waits.ofPromptStream(TARGETS_BATCH_DELAY_MS)
+        }
     private val positions = StreamPositions(listOf(operatorsFollower, targetsFollower), timer)
     private val clusterStateStore =
         PlannerBackedStore(storeAccess, { clusterState.plannerRelay(exceptNode = settings.node) }, relayClient, timer)
-    private val clusterStateFollower: StreamFollower =
-        StreamFollower(clusterStateStore, KeyedStream.ROUTERS, timer, events, clusterState, settings = waits::ofClusterState)
+    private val clusterStateFollower: StreamFollower = StreamFollower(
+        EraCheckedStore(clusterStateStore, storeEra),
+        KeyedStream.ROUTERS,
+        timer,
+        events,
+        clusterState,
+        storeEra = storeEra,
+        settings = waits::ofClusterState,
+    )
     private val authority: PlannerAuthority =
         PlannerAuthority(settings.node, incarnationId, clusterState, timer, timer::timeOfDayMs, keyOwnershipSettings, events) {
             clusterStateFollower.confirmedAtMs
@@ -144,7 +158,7 @@
         clusterStateStore.plannerSilentSinceMs
     }
     private val election =
-        PlannerElection(settings.node, incarnationId, electionDependencies(), clusterState, timer, keyOwnershipSettings, events)
+        PlannerElection(settings.node, incarnationId, electionDependencies(), clusterState, timer, keyOwnershipSettings, events, storeEra)
     private val keyLoadTracker = KeyLoadTracker(timer)
     private val meters = RouterMeters(settings.node, settings.zone)
     private val eventLoopMonitor = EventLoopMonitor(timer, events)
@@ -202,10 +216,7 @@
             streamTask("records") { clusterStateFollower.run() },
             streamTask("store") { directStoreAccess.checkAvailability() },
             SupervisedTask("event-loop") { eventLoopMonitor.run() },
-            SupervisedTask("member") {
-                announceMember()
-                awaitCancellation()
-            },
+            SupervisedTask("member") { announceMember() },
             SupervisedTask("planner") { planner.run() },
             streamTask("reports") { routerReporter().run() },
         )
@@ -224,11 +235,23 @@
     private fun streamTask(name: String, run: suspend () -> Unit) =
         SupervisedTask(name) { withContext(dispatchers.immediate) { run() } }
 
-    /** Adds this router to the members. Limits that all routers share are divided by the number of members. */
+    /**
+     * Adds this router to the members, again in each new era of the store that may lack it, until cancelled. Limits that all routers share
+     * are divided by the number of members.
+     */
     private suspend fun announceMember() {
         while (clusterState.endOffset == null) timer.sleep(ANNOUNCE_RETRY_MS)
         val capacity = settings.capacity
         val member = RouterMember(settings.node, settings.zone, settings.relayListen.toString(), capacity.cores, capacity.linkMbps)
+        while (true) {
+            val era = clusterState.era
+            writeMember(member)
+            storeEra.awaitNewerThan(era)
+            while (clusterState.era <= era) timer.sleep(ANNOUNCE_RETRY_MS)
+        }
+    }
+
+    private suspend fun writeMember(member: RouterMember) {
         while (!clusterState.hasMember(member)) {
             val result = storeAccess.append(KeyedStream.ROUTERS, listOf(ClusterState.memberChange(member)), null)
             if (result is KeyedAppendResult.Appended) return
@@ -238,7 +261,7 @@
 
     private fun electionDependencies() =
         ElectionDependencies(
-            storeAccess,
+            failoverAccess,
             storeAccess,
             RelayPlannerProbe(relayClient, clusterState::relayOf),
             mayStand = candidacy::stands,
@@ -317,6 +340,7 @@
         meters.gauge("yuccaflow.planner") { if (authority.isRecordedPlanner) 1 else 0 }
         meters.gauge("yuccaflow.event.loop.delay.seconds") { eventLoopMonitor.delayMs / MS_PER_S }
         meters.gauge("yuccaflow.store.unreachable") { if (directStoreAccess.isAvailable) 0 else 1 }
+        meters.gauge("yuccaflow.store.era") { storeEra.current }
         listOf(operatorsFollower, targetsFollower, clusterStateFollower).forEach { follower ->
             meters.gauge("yuccaflow.stream.age.seconds", "stream", follower.stream.name.lowercase()) { ageOf(follower) }
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/config/OperatorState.kt
@@ -14,7 +14,8 @@
 /**
  * The operators' routing table and the zones that they have emptied, as far as this router has read them.
  *
- * Operators empty a zone to evacuate it: its targets get no new requests. The routing table never reverts to an older version.
+ * Operators empty a zone to evacuate it: its targets get no new requests. The routing table never reverts to an older version. A zone whose
+ * record is missing in a new era of the store stays emptied for [LOST_RECORD_GRACE_MS], in which the operators write the record again.
  */
 internal class OperatorState(
     private val decoder: RecordDecoder,
@@ -28,18 +29,29 @@
     private var emptiedZones: PersistentMap<String, Announcement> = persistentMapOf()
     private val returnedAtMsByZone = HashMap<String, Long>()
 
+    /** Until when the zones whose records a new era of the store lacks stay emptied. */
+    private val keptUntilMsByZone = HashMap<String, Long>()
+    private var eraBeganAtMs: Long? = null
+
     /** Returns whether the operators have emptied [zone], so that its targets must get no new requests. */
-    fun isEmptied(zone: String): Boolean = zone in emptiedZones
+    fun isEmptied(zone: String): Boolean = emptied(zone) != null
 
     /** The announcement that [zone] was emptied, or null if it is not emptied. */
-    fun emptied(zone: String): Announcement? = emptiedZones[zone]
+    fun emptied(zone: String): Announcement? {
+        if (keptUntilMsByZone[zone]?.let { timer.nowMs() >= it } == true) returnZone(zone)
+        return emptiedZones[zone]
+    }
 
     /** When this router read that [zone] was last returned to service, or null if it never was. */
     fun returnedAtMs(zone: String): Long? = returnedAtMsByZone[zone]
 
+    override fun onNewEra(era: Long) {
+        eraBeganAtMs = timer.nowMs()
+    }
+
     override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
         val zonesInSnapshot = records.mapNotNull { applyRecord(it, writtenAfterMs) }.toSet()
-        emptiedZones.keys.filter { it !in zonesInSnapshot }.forEach(::returnZone)
+        emptiedZones.keys.filter { it !in zonesInSnapshot }.forEach(::returnOrKeepZone)
     }
 
     override fun onRecords(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
@@ -91,7 +103,15 @@
         }
     }
 
+    /** Returns [zone] to service, or keeps it emptied for a while if its record may have been lost in a new era of the store. */
+    private fun returnOrKeepZone(zone: String) {
+        val keptUntilMs = eraBeganAtMs?.let { it + LOST_RECORD_GRACE_MS } ?: Long.MIN_VALUE
+        if (timer.nowMs() >= keptUntilMs) return returnZone(zone)
+        keptUntilMsByZone[zone] = keptUntilMs
+    }
+
     private fun emptyZone(zone: String, offset: Long, writtenAfterMs: Long?) {
+        keptUntilMsByZone -= zone
         if (zone in emptiedZones) return
         emptiedZones = emptiedZones.put(zone, Announcement.read(writtenAfterMs, timer.nowMs()))
         events.log(Events.ZONE_EMPTIED) {
@@ -102,6 +122,7 @@
     }
 
     private fun returnZone(zone: String) {
+        keptUntilMsByZone -= zone
         if (zone !in emptiedZones) return
         emptiedZones = emptiedZones.remove(zone)
         returnedAtMsByZone[zone] = timer.nowMs()
@@ -109,6 +130,9 @@
     }
 
     private companion object {
+        /** Operators write again what a new era lacks, soon but not at once. */
+        const val LOST_RECORD_GRACE_MS = 5_000L
+
         /** Bounds the log of a table in which many entries are invalid. The total is in the line of the table. */
         const val MAX_LOGGED_REJECTIONS = 20
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -13,7 +13,8 @@
  * The targets that this router knows from the targets' stream.
  *
  * If an entry is removed while the store is unreachable, or shortly after, it may have expired although its target is running. So the
- * target stays in use for [REMOVAL_GRACE_MS], in which a running target writes its entry again.
+ * target stays in use for [REMOVAL_GRACE_MS], in which a running target writes its entry again. The same holds for an entry that is missing
+ * in a new era of the store.
  *
  * @property storeFailedAtMs returns when the store was last found unreachable, or null if it never was.
  */
@@ -26,6 +27,7 @@
 ) : StreamListener {
     private val states = HashMap<String, TargetState>()
     private val removedStates = HashMap<String, TargetState>()
+    private var eraBeganAtMs: Long? = null
 
     /** Returns the state of target [id] if its entry is present or in the grace period after its removal. */
     fun find(id: String): TargetState? = states[id]?.takeUnless { isExpired(it) }
@@ -60,6 +62,10 @@
     /** Returns whether no target is known. */
     fun isEmpty(): Boolean = states.isEmpty()
 
+    override fun onNewEra(era: Long) {
+        eraBeganAtMs = timer.nowMs()
+    }
+
     override fun onSnapshot(records: List<KeyedRecord>, endOffset: Long, writtenAfterMs: Long?) {
         val present = records.filter { it.value != null }.map { it.key }.toSet()
         records.forEach { applyRecord(it, writtenAfterMs) }
@@ -101,7 +107,13 @@
                 put("written_within_ms", writtenAfterMs?.let { nowMs - it })
             }
         }
-        known.update(entry, nowMs, writtenAfterMs)
+        known.update(withKnownDraining(entry, known), nowMs, writtenAfterMs)
+    }
+
+    /** Keeps the announcement that a target drains if [entry] may be an older one that a new era of the store has brought back. */
+    private fun withKnownDraining(entry: TargetEntry, known: TargetState): TargetEntry {
+        val mayBeOlder = eraBeganAtMs?.let { timer.nowMs() - it < OUTAGE_EFFECT_MS } ?: false
+        return if (mayBeOlder && known.draining != null) entry.copy(isDraining = true) else entry
     }
 
     private fun logSeen(entry: TargetEntry, previous: TargetState?) = events.log(Events.TARGET_SEEN) {
@@ -156,7 +168,8 @@
         removedStates[id] = state
     }
 
-    private fun mayBeDueToOutage(nowMs: Long): Boolean = storeFailedAtMs()?.let { nowMs - it < OUTAGE_EFFECT_MS } ?: false
+    private fun mayBeDueToOutage(nowMs: Long): Boolean =
+        listOfNotNull(storeFailedAtMs(), eraBeganAtMs).any { nowMs - it < OUTAGE_EFFECT_MS }
 
     internal companion object {
         /**
