--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
@@ -49,7 +49,8 @@
 
     /**
      * Records that [target] has turned a request away. That is no failure if the target asks for a pause, in which it gets no requests
-     * anyway, or if it is full. A full owner that counts as failed would get suspected, and all of its keys refused although it serves them.
+     * anyway, or if it is full. A full owner that counts as failed would get suspected, and all of its keys refused although it serves
+     * them.
      */
     fun recordShed(exchange: Exchange, target: TargetState, result: TargetResult.NotRun) {
         val isFull = exchange.table.hasLoadControl && result.notice?.showsFullTarget == true
