--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ClusterState.kt
@@ -107,7 +107,11 @@
     val hasHadPlanner: Boolean get() = planners.isNotEmpty() || plannerBeforeEra != null
 
     /** The latest era in which the assignments have been written. */
-    private val assignmentsEra: Long get() = planners.descendingMap().values.firstOrNull { it.isRestored }?.era ?: 0
+    private val assignmentsEra: Long get() = planners
+        .descendingMap()
+        .values
+        .firstOrNull { it.isRestored }
+        ?.era ?: 0
 
     /** When this router read the latest planner record, or null before the first one. */
     var plannerReadAtMs: Long? = null
@@ -297,10 +301,14 @@
         private val JSON = Json { ignoreUnknownKeys = true }
 
         /** Returns the planner record for [term]. */
-        fun plannerChange(term: PlannerTerm) = KeyedChange(RecordKey(RecordKey.PLANNER, term.era).toString(), encode(PlannerTerm.serializer(), term))
+        fun plannerChange(
+            term: PlannerTerm,
+        ) = KeyedChange(RecordKey(RecordKey.PLANNER, term.era).toString(), encode(PlannerTerm.serializer(), term))
 
         /** Returns the membership record for [member]. */
-        fun memberChange(member: RouterMember) = KeyedChange("${RecordKey.MEMBER}/${member.node}", encode(RouterMember.serializer(), member))
+        fun memberChange(
+            member: RouterMember,
+        ) = KeyedChange("${RecordKey.MEMBER}/${member.node}", encode(RouterMember.serializer(), member))
 
         /** Returns the record that sets [assignment] in [era] of the store. */
         fun rangeChange(assignment: Assignment, era: Long = 0) =
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyOwnershipSettings.kt
@@ -62,6 +62,6 @@
     /** How long another planner may continue to act after the store has confirmed that it was replaced. */
     val maxAuthorityMs: Long get() = (authorityMs * (1 + 2 * clockDrift)).toLong() + timingMarginMs
 
-    /** How long after a claim in a new era of the store a grant may be valid that the planner does not know, because its record was lost. */
+    /** How long after a claim in a new era of the store a grant may be valid that the planner does not know, as its record was lost. */
     val unknownGrantsMs: Long get() = maxAuthorityMs + grantTimeoutMs + maxGrantDurationMs
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -71,7 +71,8 @@
      */
     private fun keepForNewEra() {
         val known = if (clusterState.planner?.hasAssignments == true) allAssignments() else continued?.assignments
-        continued = known?.takeIf { !hasResigned && dependencies.authority.continueInNewEra() }?.let { ContinuedAssignments(it, timer.nowMs()) }
+        val mayContinue = known != null && !hasResigned && dependencies.authority.continueInNewEra()
+        continued = if (mayContinue) ContinuedAssignments(known, timer.nowMs()) else null
     }
 
     /** Stops calling targets and lets another router take over. Continues as planner if the store rejects the resignation. */
@@ -141,12 +142,12 @@
     private fun allAssignments(): List<Assignment> = clusterState.services().flatMap { clusterState.ofService(it) }
 
     /** Cuts ranges that overlap. Appends of an older era that were executed late may have left such ranges. */
-    private fun withoutOverlaps(assignments: List<Assignment>): List<Assignment> = assignments.groupBy { it.service }.values.flatMap { ranges ->
-        var next = FIRST_KEY
-        ranges.sortedBy { it.from }.mapNotNull { range ->
-            val from = maxOf(range.from, next)
-            next = maxOf(next, range.to + 1)
-            range.copy(from = from).takeIf { from <= range.to }
+    private fun withoutOverlaps(assignments: List<Assignment>): List<Assignment> {
+        val nextKeys = HashMap<String, Int>()
+        return assignments.sortedBy { it.from }.mapNotNull { range ->
+            val next = nextKeys[range.service] ?: FIRST_KEY
+            nextKeys[range.service] = maxOf(next, range.to + 1)
+            range.copy(from = maxOf(range.from, next)).takeIf { it.from <= it.to }
         }
     }
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -3,7 +3,6 @@
 import yuccaflow.base.TimerService
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
-import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.RouterGroup
@@ -203,8 +202,8 @@
      * had not read of may still act on a record that is lost now, so that new generations wait until its grants have ended.
      */
     suspend fun continueTerm(assignments: List<Assignment>, learnedAtMs: Long) {
-        val end = clusterState.endOffset
-        if (end == null || hasResigned || !isStateOfLatestEra() || clusterState.planner != null) return
+        val end = clusterState.endOffset?.takeIf { clusterState.planner == null } ?: return
+        if (hasResigned || !isStateOfLatestEra()) return
         val term = PlannerTerm(node, incarnation, latestTermOfOlderEras() + 1, era = clusterState.era, isRestored = true)
         unknownGrantsEndAtMs = learnedAtMs + settings.unknownGrantsMs
         continuedTerm = term.era to term.term
@@ -266,7 +265,8 @@
         unknownGrantsEndAtMs = if (term.hasNoUnknownGrants) Long.MIN_VALUE else nowMs + settings.unknownGrantsMs
         val formerEndsAtMs = if (haveAllEnded(former)) nowMs else nowMs + settings.maxAuthorityMs
         movesAllowedAtMs = formerEndsAtMs
-        formerGrantsEndAtMs = if (former == null && term.era == 0L) nowMs else formerEndsAtMs + settings.grantTimeoutMs + settings.maxGrantDurationMs
+        formerGrantsEndAtMs =
+            if (former == null && term.era == 0L) nowMs else formerEndsAtMs + settings.grantTimeoutMs + settings.maxGrantDurationMs
     }
 
     /**
@@ -275,7 +275,7 @@
      * active.
      */
     private fun haveAllEnded(former: PlannerTerm?): Boolean =
-        if (former == null) clusterState.era == 0L else (former.isVacant || former.node == node) && former.haveFormersEnded
+        former?.let { (it.isVacant || it.node == node) && it.haveFormersEnded } ?: (clusterState.era == 0L)
 
     /**
      * Records that all former planners, and in a new era their unknown grants, have ended, once that is certain, so that the next term need
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
@@ -55,7 +55,10 @@
         val era: Long = 0,
     ) : StreamReadResult
 
-    /** The store does not have the offset: it has dropped the records there, or lost them in a new era. So the reader must start over from a snapshot. */
+    /**
+     * The store does not have the offset: it has dropped the records there, or lost them in a new era. So the reader must start over from a
+     * snapshot.
+     */
     data object Expired : StreamReadResult
 
     /** The read failed because of [reason]. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/view/ClusterSnapshot.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/view/ClusterSnapshot.kt
@@ -56,7 +56,11 @@
 
     fun decode(newest: NewestRecords): ClusterSnapshot {
         newest.records.forEach(::decodeRecord)
-        val assignmentsEra = planners.descendingMap().values.firstOrNull { it.isRestored }?.era ?: 0
+        val assignmentsEra = planners
+            .descendingMap()
+            .values
+            .firstOrNull { it.isRestored }
+            ?.era ?: 0
         val planner = planners.lastEntry()?.value
         return ClusterSnapshot(newest.endOffset, planner, members, assignmentsByEra[assignmentsEra].orEmpty(), rejected)
     }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
@@ -34,16 +34,27 @@
     val clusterState = ClusterState(timer, log)
     private val storeEra = StoreEra(log)
     private val checkedStore = EraCheckedStore(store, storeEra)
-    private val operatorsFollower = StreamFollower(checkedStore, KeyedStream.OPERATORS, timer, log, operators, storeEra = storeEra) { FollowerSettings() }
+    private val operatorsFollower =
+        StreamFollower(checkedStore, KeyedStream.OPERATORS, timer, log, operators, storeEra = storeEra) { FollowerSettings() }
     private val targetsFollower: StreamFollower =
         StreamFollower(checkedStore, KeyedStream.TARGETS, timer, log, directory, storeEra = storeEra) { FollowerSettings() }
-    private val clusterStateFollower: StreamFollower = StreamFollower(checkedStore, KeyedStream.ROUTERS, timer, log, clusterState, storeEra = storeEra) {
-        FollowerSettings(waitMs = if (authority.isRecordedPlanner) settings.authorityReadWaitMs else FollowerSettings().waitMs)
-    }
+    private val clusterStateFollower: StreamFollower =
+        StreamFollower(checkedStore, KeyedStream.ROUTERS, timer, log, clusterState, storeEra = storeEra) {
+            FollowerSettings(waitMs = if (authority.isRecordedPlanner) settings.authorityReadWaitMs else FollowerSettings().waitMs)
+        }
     val authority: PlannerAuthority =
         PlannerAuthority(node, incarnation, clusterState, timer, process::timeOfDayMs, settings, log) { clusterStateFollower.confirmedAtMs }
     private val election =
-        PlannerElection(node, incarnation, ElectionDependencies(store, checkedStore, probe) { }, clusterState, timer, settings, log, storeEra)
+        PlannerElection(
+            node,
+            incarnation,
+            ElectionDependencies(store, checkedStore, probe) { },
+            clusterState,
+            timer,
+            settings,
+            log,
+            storeEra,
+        )
     private val planner = KeyPlanner(
         PlannerDependencies(
             store = checkedStore,
