--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -232,8 +232,8 @@
     }
 
     /**
-     * Returns the weights of [states], which are proportional to their capacities. Under load control, the service times are the averages of
-     * all routers, or this router's own if there are none, and a recently reported slowdown counts. A target without any is typical.
+     * Returns the weights of [states], which are proportional to their capacities. Under load control, the service times are the averages
+     * of all routers, or this router's own if there are none, and a recently reported slowdown counts. A target without any is typical.
      */
     private fun weightsOf(states: List<TargetState>): List<Double> {
         val isShared = hasLoadControl()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
@@ -13,9 +13,9 @@
 
 /**
  * Reports to the planner: the keys of this router's requests and the service times of targets, by which the planner balances the key
- * ranges, the targets that have told this
- * router that they leave, whose keys the planner moves, and how far this router has read the streams. The answer says how far the
- * planner has read them. While no planner answers, this router exchanges its positions with other routers instead.
+ * ranges, the targets that have told this router that they leave, whose keys the planner moves, and how far this router has read the
+ * streams. The answer says how far the planner has read them.
+ * While no planner answers, this router exchanges its positions with other routers instead.
  *
  * @property planner returns the relay address of the planner, or null if this router is the planner or none is known.
  * @property otherRouters returns the relay addresses of the other routers.
@@ -52,7 +52,7 @@
         hasPlannerAnswered = address != null && send(address, report)
     }
 
-    /** Returns the service times to report. They are also added to this router's own averages, in case that it is or becomes the planner. */
+    /** Returns the service times to report. They are also added to this router's own averages, which it uses as the planner. */
     private fun drainServiceTimes(): Map<String, ReportedServiceTime> {
         val services = table()?.takeIf { it.hasLoadControl }?.services.orEmpty()
         val states = services.values.filter { it.isKeyed }.flatMap { directory.ofService(it.name) }
