Close an idle connection also if its flood of bytes had paused reading

Cause: when a connection went back to the pool while the event loop was decoding, the decoder queued what it had read. With more than 32 KB queued it paused reading, so that the bytes after it never closed the connection. EndlessResponseTest, "closes the idle connection", failed so once beside load (load average about 20). In the router, coroutines run on the event loop, where this cannot happen.

Change: the check for leftover events also runs on the event loop, after the decoding under way.

--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ClientConnection.kt
@@ -86,8 +86,14 @@
         return nowNanos - idleSinceNanos > TimeUnit.MILLISECONDS.toNanos(limitMs)
     }
 
-    /** Makes the connection close as soon as anything arrives on it before the next request is written. */
-    fun expectNoResponse() = decoder.endResponse()
+    /**
+     * Makes the connection close as soon as anything arrives on it before the next request is written. What the decoder has just read is
+     * checked on the event loop: it may have paused reading, and then a flood of bytes would leave the connection open until its next use.
+     */
+    fun expectNoResponse() {
+        decoder.endResponse()
+        if (!channel.eventLoop().inEventLoop()) channel.eventLoop().execute { if (events.poll() != null) channel.close() }
+    }
 
     /** Writes the request, unless the connection is not usable or [sendState] does not allow it. Returns false when nothing was written. */
     suspend fun write(sendState: SendState): Boolean =
