--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerSimulation.kt
@@ -111,7 +111,7 @@
         data.append(KeyedStream.TARGETS, listOf(KeyedChange(target.entry.id, null)))
     }
 
-    /** Lets the store lose the records since its copy. What operators and targets wrote is written again after up to [MAX_REWRITE_DELAY_MS]. */
+    /** Lets the store lose the records since its copy. Operators and targets write theirs again within [MAX_REWRITE_DELAY_MS]. */
     fun loseRecords() {
         data.loseSinceCopy().forEach { (stream, records) ->
             records.forEach { record ->
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RecordsOfErasTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RecordsOfErasTest.kt
@@ -28,7 +28,7 @@
 
     private fun owner() = state.find(KEYED_SERVICE, 7)?.holder?.target
 
-    /** Guards against generations that routers of earlier versions would not accept, and against those that JSON numbers cannot represent. */
+    /** Guards against generations that earlier versions would not accept, and against those that JSON numbers cannot represent. */
     @Test
     fun `generations of era 0 are as before, and those of all eras rise and are below 2 to the power of 53`() {
         expectThat(generationOf(0, 41)).isEqualTo(42)
