--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/RetryPlaces.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/RetryPlaces.kt
@@ -34,12 +34,14 @@
      */
     fun reserve(queue: String, requestId: String, expected: ExpectedCapacity, remainingMs: Long, nowMs: Long): Long {
         val latestAtMs = nowMs + max(remainingMs / CALLER_PATIENCE_DIVISOR, MIN_RETRY_AFTER_MS)
-        val ownAtMs = placeOfRequestAtMs[requestId]?.takeIf { it > nowMs }
+        // A hash in place of the id, which is as long as the caller likes.
+        val place = "$queue ${requestId.hashCode()}"
+        val ownAtMs = placeOfRequestAtMs[place]?.takeIf { it > nowMs }
         val placeAtMs = ownAtMs ?: nextPlaceAtMs(queue, expected, nowMs).coerceAtMost(latestAtMs)
         if (ownAtMs == null) {
             // A place that another caller got later, because its time is longer, stays the last one.
             lastPlaceAtMs[queue] = max(placeAtMs, lastPlaceAtMs[queue] ?: placeAtMs)
-            placeOfRequestAtMs[requestId] = placeAtMs
+            placeOfRequestAtMs[place] = placeAtMs
         }
         return placeAtMs.coerceIn(nowMs + MIN_RETRY_AFTER_MS, latestAtMs) - nowMs
     }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetChooser.kt
@@ -101,7 +101,7 @@
                 coldStartLimiter.wouldAdmit(it, context.serviceConfig, nowMs)
         }
         val best = if (context.hasLoadControl) bestOfSample(eligible, context, nowMs) else bestOf(eligible, context, nowMs)
-        if (best == null) return TargetChoice.None("all targets are suspected, paused, cold or have been tried", NO_TARGET_RETRY_AFTER_MS)
+        if (best == null) return TargetChoice.None(NO_ELIGIBLE_TARGET, NO_TARGET_RETRY_AFTER_MS)
         return admit(best, context, nowMs, serviceQueue(context, eligible.size))
     }
 
@@ -142,7 +142,7 @@
         nowMs: Long,
         queue: RetryQueue = targetQueue(target),
     ): TargetChoice {
-        val expectedMs = expectedMs(target, context.route, nowMs)
+        val expectedMs = expectedMs(target, context.route, nowMs, context.hasLoadControl)
         val decision = if (context.hasLoadControl) decide(target, context, nowMs) else null
         if (decision?.result?.isAdmitted == false) return refusal(target, context, decision, queue, nowMs)
         val waiting = target.occupancy(nowMs) - target.entry.slots
@@ -198,24 +198,32 @@
         val ownShare = (target.inFlight + 1) / (target.occupancy(nowMs) + 1)
         val spacingMs = decision.estimate.serviceMs / target.entry.slots / ownShare / queue.targets
         val expected = ExpectedCapacity(decision.drainMs, spacingMs)
-        val retryAfterMs = admission.retryPlaces.reserve(queue.name, context.requestId, expected, context.remainingMs, nowMs)
+        // Requests of other priorities and objectives are admitted at other lengths of the queue, so they must not wait for each other.
+        val retryQueue = "${queue.name} ${context.route.priority} ${context.route.objectiveMs}"
+        val retryAfterMs = admission.retryPlaces.reserve(retryQueue, context.requestId, expected, context.remainingMs, nowMs)
         return TargetChoice.None(decision.result.refusalReason ?: "the targets are full", retryAfterMs, decision)
     }
 
     private fun score(target: TargetState, context: ChoiceContext, nowMs: Long): Double {
         val crossZoneMs = if (target.entry.zone == zone) 0.0 else CROSS_ZONE_PENALTY_MS
         val failureMs = target.failureShare(nowMs) * context.route.objectiveMs
-        return (expectedMs(target, context.route, nowMs) + crossZoneMs + failureMs) * (1 + Random.nextDouble() * SCORE_JITTER)
+        val expectedMs = expectedMs(target, context.route, nowMs, context.hasLoadControl)
+        return (expectedMs + crossZoneMs + failureMs) * (1 + random.nextDouble() * SCORE_JITTER)
     }
 
     private fun estimate(target: TargetState, route: Route, nowMs: Long): AnswerEstimate {
-        val serviceMs = target.serviceTimeMs(route.objectiveMs * INITIAL_SERVICE_TIME_FRACTION) * target.slowdown(nowMs)
-        return AnswerEstimate(serviceMs, expectedMs(target, route, nowMs) - serviceMs)
+        val serviceMs = serviceMs(target, route, nowMs, hasLoadControl = true)
+        return AnswerEstimate(serviceMs, expectedMs(target, route, nowMs, hasLoadControl = true) - serviceMs)
     }
 
-    private fun expectedMs(target: TargetState, route: Route, nowMs: Long): Double {
-        val serviceTimeMs = target.serviceTimeMs(route.objectiveMs * INITIAL_SERVICE_TIME_FRACTION)
-        return serviceTimeMs * target.slowdown(nowMs) * max(1.0, (target.occupancy(nowMs) + 1) / target.entry.slots)
+    private fun expectedMs(target: TargetState, route: Route, nowMs: Long, hasLoadControl: Boolean): Double =
+        serviceMs(target, route, nowMs, hasLoadControl) * max(1.0, (target.occupancy(nowMs) + 1) / target.entry.slots)
+
+    private fun serviceMs(target: TargetState, route: Route, nowMs: Long, hasLoadControl: Boolean): Double {
+        val initialMs = route.objectiveMs * INITIAL_SERVICE_TIME_FRACTION
+        val learnedMs =
+            if (hasLoadControl) target.agedServiceTimeMs(initialMs, nowMs, route.isLargeTransfer) else target.serviceTimeMs(initialMs)
+        return learnedMs * target.slowdown(nowMs)
     }
 
     private companion object {
@@ -234,6 +242,7 @@
         /** Sampled targets of this zone, and of all other zones together. */
         const val SAMPLED_PER_SIDE = 2
         const val MIN_SAMPLE = 3
+        const val NO_ELIGIBLE_TARGET = "all targets are suspected, paused, cold, ramping up or have been tried"
         const val NO_TARGET_RETRY_AFTER_MS = 300L
         const val FULL_RETRY_AFTER_MS = 100L
         const val COLD_RETRY_AFTER_MS = 150L
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -71,6 +71,10 @@
     private var loadReportedAtMs = seenAtMs
     private var reportedSlowdown = 1.0
     private var serviceTimeMs: Double? = null
+
+    /** Like [serviceTimeMs], for large transfers. Their time depends on their size and says nothing about short requests. */
+    private var largeTransferTimeMs: Double? = null
+    private var succeededAtMs = seenAtMs
     private var failureShare = 0.0
     private var failureShareAtMs = seenAtMs
 
@@ -137,10 +141,20 @@
     fun occupancy(nowMs: Long): Double = inFlight + otherRoutersLoad * decayFactor(nowMs - loadReportedAtMs, OTHER_ROUTERS_LOAD_DECAY_MS)
 
     /** Smoothed time that a request takes without queueing, in milliseconds, or null before the first response. */
-    val serviceTimeMsOrNull: Double? get() = serviceTimeMs
+    val serviceTimeMsOrNull: Double? get() = serviceTimeMs ?: largeTransferTimeMs
 
     /** Returns the smoothed time that a request takes without queueing, or [fallbackMs] before the first response. */
-    fun serviceTimeMs(fallbackMs: Double): Double = serviceTimeMs ?: fallbackMs
+    fun serviceTimeMs(fallbackMs: Double): Double = serviceTimeMsOrNull ?: fallbackMs
+
+    /**
+     * Returns the smoothed time that a request takes without queueing, or [initialMs] before the first response. A time above [initialMs]
+     * approaches it as the last response ages: a target that was slow gets no requests that could show its recovery.
+     */
+    fun agedServiceTimeMs(initialMs: Double, nowMs: Long, isLargeTransfer: Boolean): Double {
+        val learnedMs = (if (isLargeTransfer) largeTransferTimeMs ?: serviceTimeMs else serviceTimeMs) ?: return initialMs
+        if (learnedMs <= initialMs) return learnedMs
+        return initialMs + (learnedMs - initialMs) * decayFactor(nowMs - succeededAtMs, SERVICE_TIME_DECAY_MS)
+    }
 
     /** Returns the fraction of recent requests that failed, from 0 to 1. It decays with time, so that the target is tried again. */
     fun failureShare(nowMs: Long): Double = failureShare * decayFactor(nowMs - failureShareAtMs, FAILURE_DECAY_MS)
@@ -165,19 +179,35 @@
     /**
      * Records the response time of a request that was sent when the target held [occupancy] requests, this one included. The time of a
      * large transfer depends on its size.
+     *
+     * If [weighedAtMs] is not null, it is the present time, and the response counts the more the older the last one is, and at least half
+     * if it is much faster than expected: only a target that is fast again can answer so.
      */
-    fun recordResponse(elapsedMs: Long, occupancy: Double, isLargeTransfer: Boolean = false) {
+    fun recordResponse(elapsedMs: Long, occupancy: Double, isLargeTransfer: Boolean = false, weighedAtMs: Long? = null) {
         val queueingFactor = max(1.0, occupancy / entry.slots)
-        val sample = elapsedMs / queueingFactor
+        val sample = elapsedMs.coerceAtLeast(1) / queueingFactor
         responseCount++
         rampUp?.recordResponse(sample, mayTakeLong = isLargeTransfer)
-        serviceTimeMs = serviceTimeMs?.let { it + SERVICE_TIME_SMOOTHING * (sample - it) } ?: sample
+        if (isLargeTransfer) {
+            largeTransferTimeMs = smoothed(largeTransferTimeMs, sample, weighedAtMs)
+        } else {
+            serviceTimeMs = smoothed(serviceTimeMs, sample, weighedAtMs)
+        }
+    }
+
+    private fun smoothed(beforeMs: Double?, sampleMs: Double, weighedAtMs: Long?): Double {
+        if (beforeMs == null) return sampleMs
+        val ageWeight = weighedAtMs?.let { 1 - (1 - SERVICE_TIME_SMOOTHING) * decayFactor(it - succeededAtMs, SERVICE_TIME_DECAY_MS) }
+        val isMuchFaster = weighedAtMs != null && sampleMs * MUCH_FASTER < beforeMs
+        val weight = max(ageWeight ?: SERVICE_TIME_SMOOTHING, if (isMuchFaster) MUCH_FASTER_WEIGHT else 0.0)
+        return beforeMs + weight * (sampleMs - beforeMs)
     }
 
     /** Records a served request, which ends any suspicion. */
     fun recordSuccess(nowMs: Long) {
         failuresInARow = 0
         suspectedUntilMs = 0
+        succeededAtMs = nowMs
         rampUp?.suspicionEnded()
         recordOutcome(0.0, nowMs)
     }
@@ -217,6 +247,13 @@
         const val SLOWDOWN_DECAY_MS = 200.0
         const val LOAD_SMOOTHING = 0.4
         const val SERVICE_TIME_SMOOTHING = 0.1
+
+        /** Longer than the time between two requests of one router to one of a hundred targets. */
+        const val SERVICE_TIME_DECAY_MS = 20_000.0
+
+        /** The work of requests varies, but few take less than a third of the mean. */
+        const val MUCH_FASTER = 3
+        const val MUCH_FASTER_WEIGHT = 0.5
         const val FAILURE_SMOOTHING = 0.15
         const val FAILURE_DECAY_MS = 2_000.0
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
@@ -249,8 +249,12 @@
         }
         val settled = own.copy(haveFormersEnded = true, isRestored = true, isSettled = true)
         val changes = listOf(ClusterState.plannerChange(settled)) + restored.map { ClusterState.rangeChange(it, own.era) }
-        dependencies.store.append(KeyedStream.ROUTERS, changes + clusterState.removalsOfOlderEras(), end)
-        events.log(Events.ASSIGNMENTS_RESTORED) {
+        val result = dependencies.store.append(KeyedStream.ROUTERS, changes + clusterState.removalsOfOlderEras(), end)
+        events.log(if (result is KeyedAppendResult.Appended) Events.ASSIGNMENTS_RESTORED else Events.ORDER_FAILED) {
+            if (result !is KeyedAppendResult.Appended) {
+                put("order", "restore")
+                put("outcome", result.toString())
+            }
             put("era", own.era)
             put("assignments", restored.size)
             put("end_offset", end)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ServiceTimeTracker.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ServiceTimeTracker.kt
@@ -33,13 +33,14 @@
 
     /** Adds the service times, by target, that a router has reported. Values that no measurement can have are ignored. */
     fun addReport(times: Map<String, ReportedServiceTime>) = times.forEach { (target, time) ->
-        if (time.samples <= 0 || !time.meanMs.isFinite() || time.meanMs <= 0) return@forEach
+        if (time.samples !in 1..MAX_SAMPLES || !time.meanMs.isFinite() || time.meanMs <= 0) return@forEach
         receivedByTarget.getOrPut(target) { ArrayDeque() }.addLast(Received(time, timer.nowMs()))
         evictOld(target)
     }
 
     /** Returns the service times, by target, of those of [states] that have responded to this router since the last call. */
     fun drainUnreported(states: Collection<TargetState>): Map<String, ReportedServiceTime> {
+        receivedByTarget.keys.toList().forEach(::evictOld)
         val present = states.associateBy { incarnationOf(it.entry) }
         reportedCounts.keys.retainAll(present.keys)
         val times = HashMap<String, ReportedServiceTime>()
@@ -71,5 +72,8 @@
 
         /** Bounds the memory use for one target. 58 routers that report every 400 ms send 580 reports in a window. */
         const val MAX_REPORTS = 600
+
+        /** More responses than a router gets in a report's interval. */
+        const val MAX_SAMPLES = 100_000
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -166,7 +166,8 @@
             log.log(Events.REQUEST_UNKNOWN, exchange, target, "the target answered ${result.response.status}")
             return result.response
         }
-        target.recordResponse(nowMs - sentAtMs, occupancy, exchange.route.isLargeTransfer)
+        val weighedAtMs = nowMs.takeIf { exchange.table.hasLoadControl }
+        target.recordResponse(nowMs - sentAtMs, occupancy, exchange.route.isLargeTransfer, weighedAtMs)
         feedback.recordSuccess(target, nowMs)
         if (Random.nextInt(SAMPLE_ONE_IN) == 0) log.log(Events.REQUEST_SAMPLED, exchange, target, "status ${result.response.status}")
         return result.response
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/KeyedStore.kt
@@ -92,6 +92,9 @@
     ) : KeyedAppendResult
 }
 
+/** Generations contain the era of the store and must stay below 2^53, so that every JSON number type can represent them. */
+const val MAX_STORE_ERA: Long = 8_191
+
 /**
  * The platform's store of keyed streams. Reads and appends are linearizable within an era. Its era rises when it is restored from a copy
  * that lacks its last records; a call that is under way then may be executed in the new era.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StoreEra.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/store/StoreEra.kt
@@ -23,7 +23,7 @@
     /** Records that [era] was named in an answer of [source] about [stream], or about several if that is null. */
     fun learn(era: Long, source: EraSource, stream: KeyedStream? = null) {
         val previous = current
-        if (era <= previous || era > MAX_ERA) return
+        if (era <= previous || era > MAX_STORE_ERA) return
         highest.value = era
         events.log(Events.STORE_ERA_CHANGED) {
             put("stream", stream?.name)
@@ -37,9 +37,4 @@
     suspend fun awaitNewerThan(era: Long) {
         highest.first { it > era }
     }
-
-    private companion object {
-        /** Generations contain the era and must stay below 2^53, so that every JSON number type can represent them. */
-        const val MAX_ERA = 8_191L
-    }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/LoadControlledChoiceTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/LoadControlledChoiceTest.kt
@@ -108,4 +108,37 @@
         timer.now += 1_000
         expectThat(choose()).isA<TargetChoice.Chosen>()
     }
+
+    /** Guards against short requests that are refused because a large transfer to the same target took long. */
+    @Test
+    fun `does not expect a short request to take as long as a large transfer`() {
+        val target = addTargets(1).single()
+        repeat(20) { target.recordResponse(20_000, 1.0, isLargeTransfer = true, weighedAtMs = timer.now) }
+        repeat(5) { expectThat(choose()).isA<TargetChoice.Chosen>() }
+    }
+
+    /** Guards against a target that gets no requests for long after it was slow, because only requests could show that it is fast again. */
+    @Test
+    fun `returns to a target that was slow`() {
+        val targets = addTargets(8)
+        repeat(80) { targets[0].recordResponse(1_600, 1.0, weighedAtMs = timer.now) }
+        expectThat(chosenCounts(200)[targets[0]]).isEqualTo(null)
+        timer.now += 60_000
+        targets.forEach { target -> target.requestStarted() }
+        targets[0].requestEnded()
+        targets.drop(1).forEach { target -> repeat(5) { target.requestStarted() } }
+        expectThat(chosenCounts(200)[targets[0]] ?: 0).isGreaterThan(20)
+        repeat(3) { targets[0].recordResponse(200, 1.0, weighedAtMs = timer.now) }
+        expectThat(targets[0].serviceTimeMsOrNull!!).isLessThan(300.0)
+    }
+
+    /** Guards against a caller with a high priority that is told to return behind callers whose requests wait for a shorter queue. */
+    @Test
+    fun `gives callers of each priority places of their own`() {
+        val target = addTargets(1).single()
+        repeat(30) { target.requestStarted() }
+        val lowPriority = route.copy(priority = 4)
+        repeat(20) { chooser.choose(ChoiceContext(lowPriority, FakeRecords.serviceConfig("s"), emptySet(), 3_000, "low$it", true)) }
+        expectThat((choose() as TargetChoice.None).retryAfterMs).isLessThan(300)
+    }
 }
