Use the usual terms in the names of ramp-up and key balancing

RampSurroundings is RampContext, RampUps is RampUpFactory, a target that loses load in a balancing round is its source, and a bad sign of a target is a problem.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/RetryPlaces.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/admission/RetryPlaces.kt
@@ -33,7 +33,7 @@
      * [MIN_RETRY_AFTER_MS] and otherwise at most a third of the remaining time, for which callers wait at most.
      */
     fun reserve(queue: String, requestId: String, expected: ExpectedCapacity, remainingMs: Long, nowMs: Long): Long {
-        val latestAtMs = nowMs + max(remainingMs / CALLER_PATIENCE_DIVISOR, MIN_RETRY_AFTER_MS)
+        val latestAtMs = nowMs + max(remainingMs / MAX_RETRY_AFTER_DIVISOR, MIN_RETRY_AFTER_MS)
         // A hash in place of the id, which is as long as the caller likes.
         val place = "$queue ${requestId.hashCode()}"
         val ownAtMs = placeOfRequestAtMs[place]?.takeIf { it > nowMs }
@@ -58,7 +58,7 @@
 
     private companion object {
         const val MIN_RETRY_AFTER_MS = 50L
-        const val CALLER_PATIENCE_DIVISOR = 3
+        const val MAX_RETRY_AFTER_DIVISOR = 3
         const val DEFAULT_CAPACITY = 1_000
         const val INITIAL_CAPACITY = 16
         const val LOAD_FACTOR = 0.75f
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUp.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUp.kt
@@ -14,7 +14,7 @@
     /** Several responses in a row were about as fast as usual. */
     USUAL_SPEED,
 
-    /** Nothing has been wrong with the target for [RampUp.MAX_QUIET_MS], and it got too few requests to prove itself earlier. */
+    /** Nothing has been wrong with the target for [RampUp.PROBLEM_FREE_MS], and it got too few requests for an earlier end. */
     TIME,
 
     /** The target was suspected, turned cold or asked for a pause. Another ramp follows. */
@@ -25,7 +25,7 @@
 }
 
 /** What a [RampUp] needs to know of its target and the other targets of the service. */
-internal interface RampSurroundings {
+internal interface RampContext {
     /** Whether load control is in force. */
     val isEnabled: Boolean
 
@@ -50,14 +50,14 @@
  * Limits this router's requests in flight at a target that has just started or recovered.
  *
  * The limit starts at 1, grows by one with each response that is about as fast as usual, and is halved when the target refuses, fails or
- * is several times slower. The ramp ends once the target has proved itself, after [RESPONSES_TO_PROVE] good responses at the latest. A
+ * is several times slower. The ramp ends once the target has responded well, after [GOOD_RESPONSES_TO_END] good responses at the latest. A
  * router sends a target only a few requests per second, so a longer proof would leave a sound target idle for many seconds.
  *
  * Without load control, every request is allowed. While a target is cold, only the [ColdStartLimiter] limits it; its ramp follows.
  */
 internal class RampUp(
     private val timer: TimerService,
-    private val surroundings: RampSurroundings,
+    private val context: RampContext,
 ) {
     private class Pending(
         val cause: RampCause,
@@ -71,17 +71,17 @@
     ) {
         var limit = 1
         var goodInARow = 0
-        var lastTroubleAtMs: Long? = null
-        var isTroubled = false
+        var lastProblemAtMs: Long? = null
+        var hasRecentProblem = false
 
-        fun quietMs(nowMs: Long): Long = nowMs - max(startedAtMs, lastTroubleAtMs ?: startedAtMs)
+        fun problemFreeMs(nowMs: Long): Long = nowMs - max(startedAtMs, lastProblemAtMs ?: startedAtMs)
     }
 
     private var pending: Pending? = null
     private var ramp: Ramp? = null
 
     /** Whether requests are limited now. A ramp that is due starts only with the next request. */
-    val isRamping: Boolean get() = surroundings.isEnabled && (ramp?.let { it.quietMs(timer.nowMs()) < MAX_QUIET_MS } ?: false)
+    val isRamping: Boolean get() = context.isEnabled && (ramp?.let { it.problemFreeMs(timer.nowMs()) < PROBLEM_FREE_MS } ?: false)
 
     /** Starts a ramp at [fromMs]. Until then the target is not limited here. A start that is already due later stays. */
     fun startAt(fromMs: Long, cause: RampCause) {
@@ -99,14 +99,14 @@
 
     /**
      * Returns whether the target may get another request while [inFlight] requests of this router are in flight. No other target can take
-     * the requests of an only owner, so these are refused only while the target is in trouble.
+     * the requests of an only owner, so these are refused only while it has a recent problem.
      */
     fun allowsRequest(inFlight: Int, isOnlyOwner: Boolean): Boolean {
         val nowMs = timer.nowMs()
         update(nowMs)
         val current = ramp ?: return true
         if (inFlight < current.limit) return true
-        return isOnlyOwner && !(current.isTroubled && current.quietMs(nowMs) < TROUBLE_MS)
+        return isOnlyOwner && !(current.hasRecentProblem && current.problemFreeMs(nowMs) < PROBLEM_MS)
     }
 
     /**
@@ -120,68 +120,68 @@
         val usualMs = usualServiceTimeMs(current)
         when {
             usualMs == null || serviceTimeMs <= usualMs * ABOUT_AS_FAST -> recordGood(current)
-            serviceTimeMs > usualMs * MUCH_SLOWER && !mayTakeLong -> recordTrouble()
+            serviceTimeMs > usualMs * MUCH_SLOWER && !mayTakeLong -> recordProblem()
         }
     }
 
     /** Records a refusal, a failure or a much slower response. */
-    fun recordTrouble() {
+    fun recordProblem() {
         val nowMs = timer.nowMs()
         update(nowMs)
         val current = ramp ?: return
-        val isSameEvent = current.lastTroubleAtMs?.let { nowMs - it < BACKOFF_INTERVAL_MS } ?: false
+        val isSameEvent = current.lastProblemAtMs?.let { nowMs - it < BACKOFF_INTERVAL_MS } ?: false
         if (!isSameEvent) current.limit = (current.limit / 2).coerceAtLeast(1)
         current.goodInARow = 0
-        current.isTroubled = true
-        current.lastTroubleAtMs = nowMs
+        current.hasRecentProblem = true
+        current.lastProblemAtMs = nowMs
     }
 
     private fun recordGood(current: Ramp) {
         current.limit++
         current.goodInARow++
-        current.isTroubled = false
-        if (current.limit >= surroundings.slots) return end(RampEnd.LIMIT_REACHED)
-        if (current.goodInARow >= RESPONSES_TO_PROVE) end(RampEnd.USUAL_SPEED)
+        current.hasRecentProblem = false
+        if (current.limit >= context.slots) return end(RampEnd.LIMIT_REACHED)
+        if (current.goodInARow >= GOOD_RESPONSES_TO_END) end(RampEnd.USUAL_SPEED)
     }
 
     /** A target that has always been slower than the others is measured by its own speed, but not if it is slower than machines differ. */
     private fun usualServiceTimeMs(current: Ramp): Double? {
-        val typicalMs = surroundings.typicalServiceTimeMs ?: return current.ownServiceTimeMs
+        val typicalMs = context.typicalServiceTimeMs ?: return current.ownServiceTimeMs
         return max(typicalMs, (current.ownServiceTimeMs ?: 0.0).coerceAtMost(typicalMs * MAX_SPEED_FACTOR))
     }
 
     private fun update(nowMs: Long) {
-        if (!surroundings.isEnabled) return end(RampEnd.DISABLED)
+        if (!context.isEnabled) return end(RampEnd.DISABLED)
         pending?.let { if (nowMs >= it.fromMs) start(it, nowMs) }
-        if ((ramp?.quietMs(nowMs) ?: 0) >= MAX_QUIET_MS) end(RampEnd.TIME)
+        if ((ramp?.problemFreeMs(nowMs) ?: 0) >= PROBLEM_FREE_MS) end(RampEnd.TIME)
     }
 
     private fun start(due: Pending, nowMs: Long) {
         pending = null
-        if (nowMs - due.fromMs >= MAX_QUIET_MS || !isRampNeeded(due.cause)) return
-        ramp = Ramp(due.cause, nowMs, surroundings.ownServiceTimeMs)
-        surroundings.onStarted(due.cause)
+        if (nowMs - due.fromMs >= PROBLEM_FREE_MS || !isRampNeeded(due.cause)) return
+        ramp = Ramp(due.cause, nowMs, context.ownServiceTimeMs)
+        context.onStarted(due.cause)
     }
 
     /** At the start of a system there is neither a usual speed to compare with nor another target that could take the requests. */
     private fun isRampNeeded(cause: RampCause): Boolean = when (cause) {
-        RampCause.FIRST_SEEN, RampCause.COLD -> surroundings.typicalServiceTimeMs != null && !surroundings.isOneOfManyNew
+        RampCause.FIRST_SEEN, RampCause.COLD -> context.typicalServiceTimeMs != null && !context.isOneOfManyNew
         RampCause.SUSPECTED, RampCause.PAUSED -> true
     }
 
     private fun end(reason: RampEnd) {
         val current = ramp ?: return
         ramp = null
-        surroundings.onEnded(current.cause, reason, timer.nowMs() - current.startedAtMs, current.limit)
+        context.onEnded(current.cause, reason, timer.nowMs() - current.startedAtMs, current.limit)
     }
 
     internal companion object {
-        const val RESPONSES_TO_PROVE = 4
+        const val GOOD_RESPONSES_TO_END = 4
 
-        /** A ramp without trouble ends after this time. Other routers send requests meanwhile, so the target has warmed up anyway. */
-        const val MAX_QUIET_MS = 5_000L
+        /** A ramp without problems ends after this time. Other routers send requests meanwhile, so the target has warmed up anyway. */
+        const val PROBLEM_FREE_MS = 5_000L
 
-        /** Responses up to this multiple of the usual service time are good, so that the slower half of the targets proves itself too. */
+        /** Responses up to this multiple of the usual service time are good, so that the slower half of the targets ends its ramps too. */
         private const val ABOUT_AS_FAST = 2.0
 
         /** Above the factor of three by which any target may be slower for moments. */
@@ -194,6 +194,6 @@
         private const val BACKOFF_INTERVAL_MS = 100L
 
         /** How long a target counts as slow or refusing after the last sign of it. */
-        private const val TROUBLE_MS = 2_000L
+        private const val PROBLEM_MS = 2_000L
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUps.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/RampUpFactory.kt
@@ -12,22 +12,22 @@
  *
  * @property targetsOf returns the targets of a service.
  */
-internal class RampUps(
+internal class RampUpFactory(
     private val operators: OperatorState,
     private val timer: TimerService,
     private val events: EventLog,
     private val targetsOf: (String) -> List<TargetState>,
 ) {
-    fun create(target: TargetState): RampUp = RampUp(timer, SurroundingsOf(target))
+    fun create(target: TargetState): RampUp = RampUp(timer, ContextOf(target))
 
-    private inner class SurroundingsOf(
+    private inner class ContextOf(
         private val target: TargetState,
-    ) : RampSurroundings {
+    ) : RampContext {
         override val isEnabled get() = operators.table?.hasLoadControl ?: false
         override val slots get() = target.entry.slots
         override val ownServiceTimeMs get() = target.serviceTimeMsOrNull
 
-        /** The median, because targets in trouble must not shift what is typical. Targets that are ramping do not count. */
+        /** The median, because targets with problems must not shift what is typical. Targets that are ramping do not count. */
         override val typicalServiceTimeMs: Double?
             get() {
                 val known = others().filter { it.rampUp?.isRamping != true }.mapNotNull { it.serviceTimeMsOrNull }.sorted()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/balance/TargetState.kt
@@ -11,13 +11,13 @@
  *
  * @param writtenAfterMs the earliest time at which [entry] may have been written, or null if that may have been any time.
  * @property seenAtMs when this router first read an entry of this incarnation.
- * @param rampUps builds the ramp of the target, or null if its requests are never ramped up.
+ * @param rampUpFactory builds the ramp of the target, or null if its requests are never ramped up.
  */
 internal class TargetState(
     entry: TargetEntry,
     val seenAtMs: Long,
     writtenAfterMs: Long? = null,
-    rampUps: RampUps? = null,
+    rampUpFactory: RampUpFactory? = null,
 ) {
     /** The newest directory entry. */
     var entry: TargetEntry = entry
@@ -79,7 +79,7 @@
     private var failureShareAtMs = seenAtMs
 
     /** Limits the requests after the target has started or recovered, or null if they are never limited. */
-    val rampUp: RampUp? = rampUps?.create(this)
+    val rampUp: RampUp? = rampUpFactory?.create(this)
 
     init {
         if (coldUntilMs > seenAtMs) rampUp?.startAt(coldUntilMs, RampCause.COLD) else rampUp?.startAt(seenAtMs, RampCause.FIRST_SEEN)
@@ -214,7 +214,7 @@
 
     /** Records that the target has refused a request because of its load. That alone is no failure. */
     fun recordRefusal() {
-        rampUp?.recordTrouble()
+        rampUp?.recordProblem()
     }
 
     /**
@@ -223,7 +223,7 @@
      */
     fun recordFailure(nowMs: Long, isUnreachable: Boolean): Boolean {
         recordOutcome(1.0, nowMs)
-        rampUp?.recordTrouble()
+        rampUp?.recordProblem()
         failuresInARow++
         if (!isUnreachable && failuresInARow < FAILURES_TO_SUSPECT) return false
         val doublings = (failuresInARow - 1).coerceIn(0, MAX_DOUBLINGS)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -2,7 +2,7 @@
 
 import yuccaflow.base.TimerService
 import yuccaflow.entry.balance.Announcement
-import yuccaflow.entry.balance.RampUps
+import yuccaflow.entry.balance.RampUpFactory
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.store.KeyedRecord
@@ -28,7 +28,7 @@
 ) : StreamListener {
     private val states = HashMap<String, TargetState>()
     private val removedStates = HashMap<String, TargetState>()
-    private val rampUps = RampUps(operators, timer, events, ::ofService)
+    private val rampUpFactory = RampUpFactory(operators, timer, events, ::ofService)
     private var eraBeganAtMs: Long? = null
 
     /** Returns the state of target [id] if its entry is present or in the grace period after its removal. */
@@ -101,7 +101,7 @@
         val known = states[entry.id] ?: removedStates[entry.id]
         removedStates -= entry.id
         if (known == null || !known.entry.isSameIncarnation(entry)) {
-            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs, rampUps)
+            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs, rampUpFactory)
             logSeen(entry, known)
             return
         }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyCutFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyCutFinder.kt
@@ -31,7 +31,7 @@
  * @property minLoad no cut with less load is returned.
  * @property maxWidth no cut of more keys is returned.
  * @property maxAddedRanges no cut that adds more ranges is returned.
- * @property barred keys that must not move.
+ * @property excludedKeys keys that must not move.
  */
 internal class KeyCutFinder(
     private val keyLoad: SampledKeyLoad,
@@ -39,7 +39,7 @@
     private val minLoad: Double,
     private val maxWidth: Int,
     private val maxAddedRanges: Int,
-    private val barred: List<IntRange>,
+    private val excludedKeys: List<IntRange>,
 ) {
     private val mostLoad = wanted * (1 + TOLERANCE)
     private val enoughLoad = wanted * (1 - TOLERANCE)
@@ -87,7 +87,7 @@
 
     private fun consider(cut: KeyCut, load: Double) {
         if (load < minLoad || cut.width > maxWidth || cut.addedRanges > maxAddedRanges) return
-        if (barred.any { cut.from <= it.last && it.first <= cut.to }) return
+        if (excludedKeys.any { cut.from <= it.last && it.first <= cut.to }) return
         if (!isBetter(cut, load)) return
         best = cut
         bestLoad = load
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadSpreader.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadSpreader.kt
@@ -60,19 +60,19 @@
     fun round(): BalanceRound {
         val before = hottest()
         val moves = ArrayList<KeyMove>()
-        val givers = owners.filter(::isOverloaded).mapTo(ArrayList()) { Giver(it) }
-        if (receivers.isEmpty() || givers.isEmpty()) return BalanceRound(moves, 0.0, before, before)
-        val level = attainableLevel(givers)
+        val sources = owners.filter(::isOverloaded).mapTo(ArrayList()) { Source(it) }
+        if (receivers.isEmpty() || sources.isEmpty()) return BalanceRound(moves, 0.0, before, before)
+        val level = attainableLevel(sources)
         while (moves.size < MAX_MOVES) {
-            val giver = givers.maxByOrNull { relativeLoad(it.target) } ?: break
-            val move = moveFrom(giver, level)
-            if (move == null) givers -= giver else moves += move
+            val source = sources.maxByOrNull { relativeLoad(it.target) } ?: break
+            val move = moveFrom(source, level)
+            if (move == null) sources -= source else moves += move
         }
         return BalanceRound(moves, moves.sumOf { it.to - it.from + 1 }.toDouble() / (LAST_KEY + 1), before, hottest())
     }
 
     /** A target that is to lose load. */
-    private inner class Giver(
+    private inner class Source(
         val target: CandidateTarget,
     ) {
         private val counts = segments[target.holder].orEmpty().flatMap { keyLoad.countsIn(it.from, it.to) }
@@ -94,43 +94,43 @@
     }
 
     /**
-     * Returns the lowest relative load to which [givers] can be lowered if each of [MAX_MOVES] receivers is filled up to the same level.
+     * Returns the lowest relative load to which [sources] can be lowered if each of [MAX_MOVES] receivers is filled up to the same level.
      */
-    private fun attainableLevel(givers: List<Giver>): Double {
+    private fun attainableLevel(sources: List<Source>): Double {
         var low = mean
-        var high = givers.maxOf { relativeLoad(it.target) }
+        var high = sources.maxOf { relativeLoad(it.target) }
         repeat(LEVEL_STEPS) {
             val level = (low + high) / 2
             val rooms = receivers.map { roomBelow(level, it) }.sortedDescending()
             val room = rooms.take(MAX_MOVES).sum()
-            if (givers.sumOf { max(0.0, it.excessOver(level)) } > room) low = level else high = level
+            if (sources.sumOf { max(0.0, it.excessOver(level)) } > room) low = level else high = level
         }
         return high
     }
 
-    private fun moveFrom(giver: Giver, level: Double): KeyMove? {
-        val excess = giver.excessOver(level)
-        if (excess < giver.minPiece) return null
-        val candidates = receivers.filter { it != giver.target && roomBelow(level, it) >= giver.minPiece }
+    private fun moveFrom(source: Source, level: Double): KeyMove? {
+        val excess = source.excessOver(level)
+        if (excess < source.minPiece) return null
+        val candidates = receivers.filter { it != source.target && roomBelow(level, it) >= source.minPiece }
         return candidates
             .sortedByDescending { roomBelow(level, it) }
             .take(MAX_RECEIVERS_TRIED)
-            .firstNotNullOfOrNull { move(giver, it, min(excess, roomBelow(level, it))) }
+            .firstNotNullOfOrNull { move(source, it, min(excess, roomBelow(level, it))) }
     }
 
-    private fun move(giver: Giver, receiver: CandidateTarget, wanted: Double): KeyMove? {
-        val held = segments[giver.target.holder] ?: return null
-        val barred = recentMoves.leftBy(service, receiver.holder)
-        val finder = KeyCutFinder(keyLoad, wanted, giver.minPiece, keysLeft, rangesLeft, barred)
+    private fun move(source: Source, receiver: CandidateTarget, wanted: Double): KeyMove? {
+        val held = segments[source.target.holder] ?: return null
+        val excludedKeys = recentMoves.leftBy(service, receiver.holder)
+        val finder = KeyCutFinder(keyLoad, wanted, source.minPiece, keysLeft, rangesLeft, excludedKeys)
         val cut = finder.bestOf(held) ?: return null
         val moved = keyLoad.of(cut.from, cut.to)
         val receiverAfter = (loadOf(receiver) + moved) / receiver.weight
-        if (receiverAfter >= relativeLoad(giver.target) * MAX_RECEIVER_TO_GIVER) return null
+        if (receiverAfter >= relativeLoad(source.target) * MAX_RECEIVER_TO_SOURCE) return null
         held -= cut.segment
         held += cut.remainders()
         keysLeft -= cut.width
         rangesLeft -= cut.addedRanges
-        load.merge(giver.target.holder, -moved, Double::plus)
+        load.merge(source.target.holder, -moved, Double::plus)
         load.merge(receiver.holder, moved, Double::plus)
         return KeyMove(service, cut.from, cut.to, receiver.holder, cut.segment.assignment)
     }
@@ -173,7 +173,7 @@
         /** Receivers for which a cut is searched before a target is given up for this round. */
         const val MAX_RECEIVERS_TRIED = 4
 
-        /** The relative load of the receiver after a move must stay below this multiple of the giver's before the move. */
-        const val MAX_RECEIVER_TO_GIVER = 0.8
+        /** The relative load of the receiver after a move must stay below this multiple of the source's before the move. */
+        const val MAX_RECEIVER_TO_SOURCE = 0.8
     }
 }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/RampUpTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/RampUpTest.kt
@@ -13,10 +13,10 @@
 @DisplayName("The ramp of a target")
 class RampUpTest {
     private val timer = ManualTimer(10_000)
-    private val surroundings = FakeSurroundings()
-    private val rampUp = RampUp(timer, surroundings)
+    private val context = FakeSurroundings()
+    private val rampUp = RampUp(timer, context)
 
-    private class FakeSurroundings : RampSurroundings {
+    private class FakeSurroundings : RampContext {
         override var isEnabled = true
         override var slots = 16
         override var ownServiceTimeMs: Double? = null
@@ -47,7 +47,7 @@
 
     private fun trouble(times: Int = 1) = repeat(times) {
         timer.now += 200
-        rampUp.recordTrouble()
+        rampUp.recordProblem()
     }
 
     @Nested
@@ -75,9 +75,9 @@
         fun `ends soon after the responses have become as fast as usual`() {
             start()
             respond(500.0, times = 10)
-            respond(120.0, times = RampUp.RESPONSES_TO_PROVE)
+            respond(120.0, times = RampUp.GOOD_RESPONSES_TO_END)
             expectThat(limit()).isEqualTo(MANY)
-            expectThat(surroundings.ended).isEqualTo(listOf(RampEnd.USUAL_SPEED))
+            expectThat(context.ended).isEqualTo(listOf(RampEnd.USUAL_SPEED))
         }
 
         /** Guards against refused keys, which no other target can serve, while their owner is in order. */
@@ -109,7 +109,7 @@
         @Test
         fun `adds one request for each good response and ends after a few`() {
             start()
-            val limits = List(RampUp.RESPONSES_TO_PROVE) { limit().also { respond(100.0) } }
+            val limits = List(RampUp.GOOD_RESPONSES_TO_END) { limit().also { respond(100.0) } }
             expectThat(limits).isEqualTo(listOf(1, 2, 3, 4))
             expectThat(limit()).isEqualTo(MANY)
         }
@@ -117,19 +117,19 @@
         /** Guards against a ramp that outlasts a target's own capacity. */
         @Test
         fun `ends when the limit has reached the slots`() {
-            surroundings.slots = 3
+            context.slots = 3
             start()
             respond(100.0, times = 2)
-            expectThat(surroundings.ended).isEqualTo(listOf(RampEnd.LIMIT_REACHED))
+            expectThat(context.ended).isEqualTo(listOf(RampEnd.LIMIT_REACHED))
         }
 
         /** Guards against a target on a slow machine that can never prove itself. */
         @Test
         fun `measures a target that has always been slower by its own speed`() {
-            surroundings.ownServiceTimeMs = 280.0
+            context.ownServiceTimeMs = 280.0
             start(RampCause.SUSPECTED)
-            respond(450.0, times = RampUp.RESPONSES_TO_PROVE)
-            expectThat(surroundings.ended).isEqualTo(listOf(RampEnd.USUAL_SPEED))
+            respond(450.0, times = RampUp.GOOD_RESPONSES_TO_END)
+            expectThat(context.ended).isEqualTo(listOf(RampEnd.USUAL_SPEED))
         }
 
         /** Guards against a large transfer that is taken for a slow target. */
@@ -144,24 +144,24 @@
         /** Guards against a slow start of the whole system, when no target has responded yet or all are equally new. */
         @Test
         fun `does not start without a typical response or together with most other targets`() {
-            surroundings.typicalServiceTimeMs = null
+            context.typicalServiceTimeMs = null
             start()
-            surroundings.typicalServiceTimeMs = 100.0
-            surroundings.isOneOfManyNew = true
+            context.typicalServiceTimeMs = 100.0
+            context.isOneOfManyNew = true
             start()
             start(RampCause.COLD)
             expectThat(limit()).isEqualTo(MANY)
-            expectThat(surroundings.started).isEqualTo(emptyList())
+            expectThat(context.started).isEqualTo(emptyList())
         }
 
         /** Guards against a changed decision for deployments without load control. */
         @Test
         fun `never limits without load control`() {
-            surroundings.isEnabled = false
+            context.isEnabled = false
             RampCause.entries.forEach { start(it) }
             trouble(times = 5)
             expectThat(limit()).isEqualTo(MANY)
-            expectThat(surroundings.started).isEqualTo(emptyList())
+            expectThat(context.started).isEqualTo(emptyList())
         }
     }
 
@@ -182,7 +182,7 @@
         fun `halves the limit once for refusals that come together`() {
             start()
             respond(100.0, times = 3)
-            repeat(3) { rampUp.recordTrouble() }
+            repeat(3) { rampUp.recordProblem() }
             expectThat(limit()).isEqualTo(2)
         }
 
@@ -217,8 +217,8 @@
             expectThat(rampUp.isRamping).isFalse()
             timer.now += 500
             expectThat(limit()).isEqualTo(1)
-            expectThat(surroundings.started).isEqualTo(listOf(RampCause.SUSPECTED, RampCause.SUSPECTED))
-            expectThat(surroundings.ended).isEqualTo(listOf(RampEnd.INTERRUPTED))
+            expectThat(context.started).isEqualTo(listOf(RampCause.SUSPECTED, RampCause.SUSPECTED))
+            expectThat(context.ended).isEqualTo(listOf(RampEnd.INTERRUPTED))
         }
 
         /** Guards against full traffic between a success that ends a suspicion early and the time at which it would have ended. */
@@ -236,7 +236,7 @@
             rampUp.startAt(timer.now + 250, RampCause.SUSPECTED)
             timer.now += 3_000
             limit()
-            expectThat(surroundings.started).isEqualTo(listOf(RampCause.COLD))
+            expectThat(context.started).isEqualTo(listOf(RampCause.COLD))
         }
     }
 
@@ -247,9 +247,9 @@
         @Test
         fun `ends after a while without trouble`() {
             start()
-            timer.now += RampUp.MAX_QUIET_MS
+            timer.now += RampUp.PROBLEM_FREE_MS
             expectThat(limit()).isEqualTo(MANY)
-            expectThat(surroundings.ended).isEqualTo(listOf(RampEnd.TIME))
+            expectThat(context.ended).isEqualTo(listOf(RampEnd.TIME))
         }
 
         /** Guards against a ramp that runs out while the target is in trouble. */
@@ -264,9 +264,9 @@
         @Test
         fun `does not start if the target was not needed until long after its recovery`() {
             rampUp.startAt(timer.now, RampCause.PAUSED)
-            timer.now += RampUp.MAX_QUIET_MS
+            timer.now += RampUp.PROBLEM_FREE_MS
             expectThat(limit()).isEqualTo(MANY)
-            expectThat(surroundings.started).isEqualTo(emptyList())
+            expectThat(context.started).isEqualTo(emptyList())
         }
     }
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/TargetRampTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/balance/TargetRampTest.kt
@@ -72,7 +72,7 @@
             val started = writeTarget(4)
             expectThat(load(started)).isEqualTo(1)
             expectThat(directory.rampingCount()).isEqualTo(1)
-            repeat(RampUp.RESPONSES_TO_PROVE) { respond(started) }
+            repeat(RampUp.GOOD_RESPONSES_TO_END) { respond(started) }
             expectThat(directory.rampingCount()).isEqualTo(0)
             expectThat(load(started) > 1).isTrue()
             expectThat(log.events.map { it.first }.filter { "ramp" in it })
