--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -288,19 +288,15 @@
 
     /**
      * Returns the weights of [states], which are proportional to their capacities. Under load control, the service times are the averages
-     * of all routers, or this router's own if there are none, and a recently reported slowdown counts. A target without any is typical.
+     * of all routers, or this router's own if there are none. A target without any is typical. A reported slowdown does not count: it may
+     * last for less time than a move takes.
      */
     private fun weightsOf(states: List<TargetState>): List<Double> {
-        val isShared = hasLoadControl()
-        val shared = if (isShared) states.map { dependencies.loads.serviceTimes.averageMs(it.entry.id) } else emptyList()
+        val shared = if (hasLoadControl()) states.map { dependencies.loads.serviceTimes.averageMs(it.entry.id) } else emptyList()
         val times = if (shared.any { it != null }) shared else states.map { it.serviceTimeMsOrNull }
         val known = times.filterNotNull()
         val typicalMs = if (known.isEmpty()) DEFAULT_SERVICE_TIME_MS else known.average()
-        val nowMs = timer.nowMs()
-        return states.mapIndexed { index, state ->
-            val slowdown = if (isShared) maxOf(1.0, state.slowdown(nowMs)) else 1.0
-            state.entry.slots / ((times[index] ?: typicalMs) * slowdown)
-        }
+        return states.mapIndexed { index, state -> state.entry.slots / (times[index] ?: typicalMs) }
     }
 
     private fun mayOwnKeys(state: TargetState): Boolean =
