--- a/review/standin-2/Case.java
+++ b/review/standin-2/Case.java
@@ -40,10 +40,16 @@
         System.exit(status);
     }
 
-    synchronized void write(String line) {
+    /** Writes a line to the record and to the output. */
+    void write(String line) {
+        System.out.println(record(line));
+    }
+
+    /** Writes a line to the record only, such as one for each request. */
+    synchronized String record(String line) {
         String timed = String.format("%8d ms  %s", (System.nanoTime() - startedAt) / 1_000_000, line);
         record.println(timed);
-        System.out.println(timed);
+        return timed;
     }
 
     @Override
--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -36,6 +36,13 @@
         }
     }
 
+    /** Sends a request as [send] does, and records it with its answer. Returns the status of the answer, or [CLOSED]. */
+    static int sendRecorded(Case self, Router router, byte[] request, String attempt, long waitMs) {
+        int status = statusOf(send(router.front(), request, waitMs));
+        self.record(attempt + " sent to " + router.node + ", answered " + (status == CLOSED ? "not at all" : status));
+        return status;
+    }
+
     static int statusOf(Http.Message answer) {
         return answer == null ? CLOSED : answer.status();
     }
--- a/review/standin-2/EarlyConnectionCase.java
+++ b/review/standin-2/EarlyConnectionCase.java
@@ -26,7 +26,7 @@
     }
 
     private static boolean run(Case self) throws Exception {
-        try (Deployment system = new Deployment(self.directory)) {
+        try (Deployment system = new Deployment(self)) {
             system.route("muestras", "upload", "3s");
             system.publish();
             for (int i = 0; i < 4; i++) system.plainUpstream("muestras", "i-m" + i, 20);
--- a/review/standin-2/OddEntryCase.java
+++ b/review/standin-2/OddEntryCase.java
@@ -20,7 +20,7 @@
     }
 
     private static boolean run(Case self) throws Exception {
-        try (Deployment system = new Deployment(self.directory)) {
+        try (Deployment system = new Deployment(self)) {
             system.keyedRoute("katalog", "idempotent", "1s");
             system.route("prest", "non_idempotent", "1s");
             system.publish();
@@ -54,8 +54,8 @@
             Map<String, Integer> answers = new TreeMap<>();
             for (int i = 0; i < PER_SECOND; i++) {
                 Router router = system.routers.get(i % system.routers.size());
-                int keyed = sendKeyed(router, i * KEYS / PER_SECOND + second * 100 % 6_000);
-                int plain = sendPlain(router);
+                int keyed = sendKeyed(self, router, i * KEYS / PER_SECOND + second * 100 % 6_000);
+                int plain = sendPlain(self, router);
                 answers.merge("katalog " + keyed, 1, Integer::sum);
                 answers.merge("prest " + plain, 1, Integer::sum);
                 if (keyed == 200) keyedServed++;
@@ -74,14 +74,15 @@
         return keyedServed / asked >= all / 4 && plainServed / asked >= all / 4;
     }
 
-    private static int sendKeyed(Router router, int key) {
-        String header = "Yuccaflow-Shard-Key: " + key;
-        byte[] request = Client.request("GET", "/katalog/x", Client.newAttempt(), WAIT_MS, new byte[0], header);
-        return Client.statusOf(Client.send(router.front(), request, WAIT_MS));
+    private static int sendKeyed(Case self, Router router, int key) {
+        String attempt = Client.newAttempt();
+        byte[] request = Client.request("GET", "/katalog/x", attempt, WAIT_MS, new byte[0], "Yuccaflow-Shard-Key: " + key);
+        return Client.sendRecorded(self, router, request, attempt, WAIT_MS);
     }
 
-    private static int sendPlain(Router router) {
-        byte[] request = Client.request("POST", "/prest/x", Client.newAttempt(), WAIT_MS, "loan".getBytes());
-        return Client.statusOf(Client.send(router.front(), request, WAIT_MS));
+    private static int sendPlain(Case self, Router router) {
+        String attempt = Client.newAttempt();
+        byte[] request = Client.request("POST", "/prest/x", attempt, WAIT_MS, "loan".getBytes());
+        return Client.sendRecorded(self, router, request, attempt, WAIT_MS);
     }
 }
--- a/review/standin-2/OddEntryOfPlainServiceCase.java
+++ b/review/standin-2/OddEntryOfPlainServiceCase.java
@@ -23,7 +23,7 @@
     }
 
     private static boolean run(Case self) throws Exception {
-        try (Deployment system = new Deployment(self.directory)) {
+        try (Deployment system = new Deployment(self)) {
             system.route("prest", "non_idempotent", "600ms");
             system.publish();
             for (int i = 0; i < 6; i++) system.plainUpstream("prest", "i-p" + i, WORK_MS);
@@ -43,8 +43,13 @@
         List<Future<Http.Message>> answers = new ArrayList<>();
         for (int i = 0; i < REQUESTS; i++) {
             Router router = system.routers.get(i % system.routers.size());
-            byte[] request = Client.request("POST", "/prest/x", Client.newAttempt(), WAIT_MS, "loan".getBytes());
-            answers.add(clients.submit(() -> Client.send(router.front(), request, WAIT_MS)));
+            String attempt = Client.newAttempt();
+            byte[] request = Client.request("POST", "/prest/x", attempt, WAIT_MS, "loan".getBytes());
+            answers.add(clients.submit(() -> {
+                Http.Message answer = Client.send(router.front(), request, WAIT_MS);
+                self.record(attempt + " sent to " + router.node + ", answered " + (answer == null ? "not at all" : answer.status()));
+                return answer;
+            }));
             Thread.sleep(INTERVAL_MS);
         }
         Map<String, Integer> counts = new TreeMap<>();
--- a/review/standin-2/OwnFailureCase.java
+++ b/review/standin-2/OwnFailureCase.java
@@ -31,7 +31,7 @@
     }
 
     private static boolean run(Case self) throws Exception {
-        try (Deployment system = new Deployment(self.directory)) {
+        try (Deployment system = new Deployment(self)) {
             system.route("prest", "non_idempotent", "1s");
             system.publish();
             for (int i = 0; i < UPSTREAMS; i++) {
@@ -48,6 +48,7 @@
     private static void book(Case self, boolean isGrey, Http.Message request, Server.Connection connection) throws Exception {
         String attempt = request.header("Yuccaflow-Attempt-Id");
         RAN.add(attempt);
+        self.record(attempt + " has run");
         Thread.sleep(WORK_MS);
         boolean fails = isGrey && GREY_REQUESTS.incrementAndGet() % FAILED_ONE_IN == 0;
         if (fails) self.write(attempt + " has run; its upstream answers 503 without Yuccaflow-Not-Executed");
@@ -64,7 +65,7 @@
             byte[] request = Client.request("POST", "/prest/x", attempt, WAIT_MS, "loan".getBytes());
             Router router = system.routers.get(i % system.routers.size());
             attempts.add(attempt);
-            answers.add(clients.submit(() -> Client.statusOf(Client.send(router.front(), request, WAIT_MS))));
+            answers.add(clients.submit(() -> Client.sendRecorded(self, router, request, attempt, WAIT_MS)));
             Thread.sleep(INTERVAL_MS);
         }
         Map<Integer, Integer> counts = new TreeMap<>();
