--- a/review/standin-2/EarlyConnectionCase.java
+++ b/review/standin-2/EarlyConnectionCase.java
@@ -27,9 +27,9 @@
 
     private static boolean run(Case self) throws Exception {
         try (Deployment system = new Deployment(self)) {
-            system.route("muestras", "upload", "3s");
+            system.route("prest", "non_idempotent", "3s");
             system.publish();
-            for (int i = 0; i < 4; i++) system.plainUpstream("muestras", "i-m" + i, 20);
+            for (int i = 0; i < 4; i++) system.plainUpstream("prest", "i-p" + i, 20);
             system.start(2);
             self.write("the routers are ready; the desired state allows bodies of 67108864 bytes");
             if (self.hasTrouble) {
@@ -97,7 +97,7 @@
     private static int upload(Socket socket) {
         try {
             socket.setSoTimeout(WAIT_MS + 500);
-            byte[] request = Client.request("POST", "/muestras/x", Client.newAttempt(), WAIT_MS, new byte[UPLOAD_BYTES]);
+            byte[] request = Client.request("POST", "/prest/x", Client.newAttempt(), WAIT_MS, new byte[UPLOAD_BYTES]);
             Http.write(socket.getOutputStream(), request);
             return Client.statusOf(Http.read(new BufferedInputStream(socket.getInputStream())));
         } catch (IOException failure) {
--- a/review/standin-2/OwnFailureCase.java
+++ b/review/standin-2/OwnFailureCase.java
@@ -10,12 +10,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One of seven upstreams fails half of the requests that it has run, with a 503 of its own that does not state that they have not run. Checked
+ * One of eight upstreams fails half of the requests that it has run, with a 503 of its own that does not state that they have not run. Checked
  * is that no request that is not idempotent is answered 429 or 503 (or 408, 421) and has run.
  */
 final class OwnFailureCase {
     private static final int REQUESTS = 6_000;
-    private static final int UPSTREAMS = 7;
+    private static final int UPSTREAMS = 8;
     private static final int FAILED_ONE_IN = 2;
     private static final int INTERVAL_MS = 3;
     private static final int WAIT_MS = 1_000;
