Start the tasks of all grants again after the planner was restarted, and keep the failure of one from ending the others

Cause: an exception in the task of one grant ended the planner's run and so the tasks of all other grants, most of them before their first call. The supervisor started the run again, but RangeGrantManager still listed the ended tasks and started none for assignments that had one. The router stayed the recorded planner with valid authority, so that nobody replaced it.

Ruled out: that the address of the entry alone is the cause.

Change: a run of the planner forgets its tasks when it ends, and each task handles its own exception: it logs order_failed (order enforce), marks the holder as lost if it has been silent for longer than a grant, and tries again.

Why it works: what a run has started ends with it, so the next run finds nothing that looks started; and no range depends on the calls for another one.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -102,8 +102,18 @@
         wakeUp.trySend(Unit)
     }
 
-    /** Maintains the router's group membership, and plans while this router is the planner. Runs until cancelled. */
-    suspend fun run() = coroutineScope {
+    /**
+     * Maintains the router's group membership, and plans while this router is the planner. Runs until cancelled. May be called again after a
+     * run that failed.
+     */
+    suspend fun run() = try {
+        runOnce()
+    } finally {
+        // The tasks of the grants ended with the run, and the next run must start them again.
+        grantManager.stop()
+    }
+
+    private suspend fun runOnce() = coroutineScope {
         launch { dependencies.election.maintainMembership() }
         while (true) {
             withTimeoutOrNull(settings.planIntervalMs) { wakeUp.receive() }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -4,10 +4,12 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withContext
+import org.tinylog.Logger
 import yuccaflow.base.TimerService
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.telemetry.EventLog
@@ -63,10 +65,10 @@
         latestArrivalMs.keys.retainAll(generations)
         lastRenewedAtMs.keys.retainAll(generations)
         locks.keys.retainAll(generations)
-        desired.filter { it !in tasks }.forEach { assignment -> tasks[assignment] = scope.launch { enforce(assignment) } }
+        desired.filter { it !in tasks }.forEach { assignment -> tasks[assignment] = scope.launch { keepEnforcing(assignment) } }
     }
 
-    /** Cancels all tasks. */
+    /** Cancels all tasks. The next [reconcile] starts them anew, so this must also be called when their scope has ended. */
     fun stop() {
         tasks.values.forEach { it.cancel() }
         tasks.clear()
@@ -84,6 +86,21 @@
     /** Returns the assignments whose holder rejects the generation because it has seen a higher one. */
     fun fencedAssignments(): Set<Assignment> = fenced.toSet()
 
+    /** Enforces [assignment] until cancelled. An exception delays only this assignment, and the tasks of the others go on. */
+    private suspend fun keepEnforcing(assignment: Assignment) {
+        while (true) {
+            try {
+                enforce(assignment)
+            } catch (failure: Exception) {
+                currentCoroutineContext().ensureActive()
+                Logger.error(failure, "enforcing the assignment of keys {} to {} failed", assignment.from, assignment.to)
+                logFailure("enforce", assignment.holder, assignment, failure.toString())
+                markLostIfSilent(assignment)
+            }
+            timer.sleep(settings.retryDelayMs)
+        }
+    }
+
     private suspend fun enforce(assignment: Assignment) {
         if (assignment.isMoving) {
             // A grant with a higher generation replaces the holder's own former grant, so that one needs no release.
@@ -113,11 +130,11 @@
                     return null
                 }
                 is KeyGrantResult.ConnectionRefused -> {
-                    logFailure("release", former.holder, assignment, result)
+                    logFailure("release", former.holder, assignment, result.toString())
                     timer.sleep((grantEndsAtMs(former) - timer.nowMs()).coerceIn(settings.retryDelayMs, settings.refusedRetryDelayMs))
                 }
                 else -> {
-                    logFailure("release", former.holder, assignment, result)
+                    logFailure("release", former.holder, assignment, result.toString())
                     timer.sleep(settings.retryDelayMs)
                 }
             }
@@ -141,7 +158,7 @@
         while (true) {
             val result = grant(assignment, handover)
             if (result is KeyGrantResult.Done) break
-            logFailure("grant", assignment.holder, assignment, result)
+            logFailure("grant", assignment.holder, assignment, result.toString())
             timer.sleep(settings.retryDelayMs)
         }
         events.log(Events.RANGE_GRANTED) { describe(assignment) }
@@ -153,7 +170,7 @@
             if (result is KeyGrantResult.Done) {
                 timer.sleep(settings.renewIntervalMs(rangeCounts[assignment.holder] ?: 1))
             } else {
-                logFailure("renew", assignment.holder, assignment, result)
+                logFailure("renew", assignment.holder, assignment, result.toString())
                 markLostIfSilent(assignment)
                 timer.sleep(settings.retryDelayMs)
             }
@@ -242,12 +259,12 @@
         put("outcome", outcome)
     }
 
-    private fun logFailure(operation: String, holder: TargetIncarnation, assignment: Assignment, result: KeyGrantResult) =
+    private fun logFailure(operation: String, holder: TargetIncarnation, assignment: Assignment, outcome: String) =
         events.log(Events.ORDER_FAILED) {
             describe(assignment)
             put("order", operation)
             put("sent_to", holder.target)
-            put("outcome", result.toString())
+            put("outcome", outcome)
         }
 
     private companion object {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/fake/FakeStore.kt
@@ -78,6 +78,9 @@
     /** Whether the group cannot be joined, although the store is reachable. */
     var isDisconnectedFromGroup = false
 
+    /** What the next call to join the group throws, or null. */
+    var nextJoinFailure: Exception? = null
+
     /** Whether the answers to appends are lost after the append. */
     var losesAppendAnswers = false
 
@@ -128,6 +131,10 @@
 
     override suspend fun join(member: String, generation: Long, ttlMs: Long): JoinResult {
         delay(callMs)
+        nextJoinFailure?.let {
+            nextJoinFailure = null
+            throw it
+        }
         if (!isReachable() || isDisconnectedFromGroup) return JoinResult.Failed("disconnected")
         data.memberSeenAtMs[member] = data.timer.nowMs()
         data.memberSeenAtMs.values.removeIf { data.timer.nowMs() - it > ttlMs }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
+import yuccaflow.base.SupervisedTask
+import yuccaflow.base.Supervisor
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.fake.FakeRecords
@@ -81,7 +83,7 @@
             launch { operatorsFollower.run() }
             launch { targetsFollower.run() }
             launch { clusterStateFollower.run() }
-            launch { planner.run() }
+            launch { Supervisor(timer).run(listOf(SupervisedTask("planner") { planner.run() })) }
         }
     }
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedTargets.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedTargets.kt
@@ -85,6 +85,9 @@
     var unansweredShare = 0.0
     var grantCount = 0
 
+    /** The ids of the targets for which each call throws an exception. */
+    val throwingTargets = HashSet<String>()
+
     /** Whether no connection can be opened across a partition, so that calls are not sent. */
     var partitionsBlockConnecting = false
 
@@ -140,6 +143,7 @@
         timeoutMs: Long,
         execute: (Incarnation, Long) -> KeyGrantResult,
     ): KeyGrantResult {
+        check(target.target !in throwingTargets) { "the call to ${target.target} failed" }
         delay(1)
         if (isPartitioned(target.target)) {
             if (partitionsBlockConnecting) return KeyGrantResult.NotSent("no connection").also { delay(timeoutMs) }
