--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/EventLoops.kt
@@ -12,8 +12,6 @@
 import io.netty.util.concurrent.DefaultThreadFactory
 import io.netty.util.concurrent.RejectedExecutionHandlers
 import kotlinx.coroutines.suspendCancellableCoroutine
-import java.net.InetAddress
-import java.net.InetSocketAddress
 import java.util.concurrent.Executor
 import kotlin.coroutines.resume
 
@@ -83,6 +81,3 @@
 /** Suspends until the operation is complete and returns its failure, or null when it succeeded. */
 internal suspend fun ChannelFuture.awaitFailure(): Throwable? =
     suspendCancellableCoroutine { waiter -> addListener { waiter.resume(it.cause()) } }
-
-/** Converts to the type that Netty uses. The host is an IP address, so there is no DNS lookup. */
-internal fun SocketAddress.toInet(): InetSocketAddress = InetSocketAddress(InetAddress.getByName(host), port)
