End each call of the HTTP client with a result, whatever is thrown on the way

Cause: HttpClient promises a result, but an exception within a call passed to its sender: of the connection attempt, or of the listener for parts of a body. One of the function that prepares the request at the last moment was lost on the event loop, so that the sender waited until its timeout.

Change: such an exception is logged and becomes NotSent if no byte was sent, else Unknown.

Why it works: senders act on results only. NotSent and Unknown suspect the target, release its keys or repeat the call as they do for a connection that is lost.

Tests: HttpClientTest, "in which an exception is thrown".

--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpClient.kt
@@ -56,6 +56,8 @@
  *
  * A connection on which the response is late, missing or mismatched, or whose request was cancelled, is aborted and never reused. No byte
  * of a request arrives at the server after its result is known, except for those that are in the network already.
+ *
+ * Calls end with a result or by cancellation. Whatever else goes wrong, also within the functions that are passed to them, is a result too.
  */
 interface HttpClient {
     /**
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.Logger
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.coroutines.cancellation.CancellationException
 
 /** [HttpClient] on Netty's NIO transport. It counts the memory of responses in [memory] while they arrive. */
 internal class NettyHttpClient(
@@ -30,9 +32,7 @@
         if (closed) return HttpResult.NotSent("the client is closed")
         val call = Call(address, request, expectedRequestId, prepare)
         val pool = poolOf(address)
-        val result = withTimeoutOrNull(timeoutMs) {
-            pool.permits.withPermit { exchange(pool, call) }
-        }
+        val result = withTimeoutOrNull(timeoutMs) { resultOf(call, pool) }
         return result ?: timedOut(call, "$timeoutMs ms")
     }
 
@@ -46,9 +46,7 @@
         val progress = TransferProgress(limits, parts)
         val call = Call(address, request, expectedRequestId = null, prepare = { it }, progress::recordPart)
         val pool = poolOf(address)
-        val result = progress.withinLimits {
-            pool.permits.withPermit { exchange(pool, call) }
-        }
+        val result = progress.withinLimits { resultOf(call, pool) }
         return result ?: timedOut(call, "the limits of a large response")
     }
 
@@ -76,12 +74,24 @@
 
         private fun encodePrepared(): FullHttpRequest? = try {
             prepare(request)?.let { encode(address, it) }
-        } catch (invalid: IllegalArgumentException) {
-            invalidReason = invalid.message.orEmpty()
+        } catch (failure: Exception) {
+            // The sender waits for the event loop, which must not end here with an exception.
+            invalidReason = failure.message.orEmpty()
             null
         }
     }
 
+    /** Carries out [call]. An exception becomes a result too, because callers take the lack of one for no failure of the server. */
+    private suspend fun resultOf(call: Call, pool: ConnectionPool): HttpResult = try {
+        pool.permits.withPermit { exchange(pool, call) }
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (failure: Exception) {
+        Logger.error(failure, "request to {} failed", call.address)
+        val reason = "request to ${call.address} failed: $failure"
+        if (call.sendState.abandon()) HttpResult.NotSent(reason) else HttpResult.Unknown(reason)
+    }
+
     private suspend fun exchange(pool: ConnectionPool, call: Call): HttpResult {
         while (true) {
             val pooled = pool.acquireIdle(call.expectedRequestId)
--- a/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
+++ b/yuccaflow-http/src/test/kotlin/yuccaflow/http/HttpClientTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
@@ -240,6 +241,30 @@
         }
     }
 
+    @Nested
+    @DisplayName("in which an exception is thrown")
+    inner class Throwing {
+        /** Guards against a request that hangs until its timeout, because its preparation fails on the event loop. */
+        @Test
+        fun `reports at once that a request whose preparation fails was not sent`() {
+            server.serve { socket, _ -> runCatching { socket.readRequest() } }
+            val result = runBlocking { client.send(address, get, SILENCE_MS, prepare = { error("unexpected") }) }
+            expectThat(result).isA<HttpResult.NotSent>().get { reason }.contains("unexpected")
+        }
+
+        /** Guards against an exception for a sender that expects a result, and therefore does not learn that the request may have run. */
+        @Test
+        fun `reports that a request may have run if a part of its response cannot be passed on`() {
+            server.serve { socket, _ ->
+                socket.readRequest()
+                socket.answer("x")
+            }
+            val limits = TransferLimits(LONG_MS, LONG_MS, LONG_MS)
+            val result = runBlocking { client.transfer(address, get, limits) { _, _ -> error("unexpected") } }
+            expectThat(result).isA<HttpResult.Unknown>().get { reason }.contains("unexpected")
+        }
+    }
+
     /** Guards against a request that is sent although its sender lost the right to send it while it waited for a connection. */
     @Test
     fun `does not send a request that was withdrawn while it waited for a connection`() {
