Answer 502 when a target fails a request with a status that would tell the caller that it has not run

A caller may book again after a 503.

Cause: RequestRouter passed on every failure of a target with its status. A target states by a header that a request has not run; its status alone says nothing. The same status from the router is a promise, and the router had counted the request as possibly run itself. 408 and 429 were taken for successes of the target.

Ruled out: that the targets had marked the response. The record shows each of these bookings as run, and its answer without the header.

Change: 408, 421, 429 and 503 without the header count as failures of the target. An idempotent request is repeated; if no attempt is left the caller gets 502 without a signature, which promises nothing. Other statuses are passed on unchanged.

Why it works: the four statuses reach a caller only from the router's own refusals, which are given only while no attempt may have run.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -158,14 +158,8 @@
     ): HttpResponse? {
         val nowMs = timer.nowMs()
         feedback.recordNotice(exchange, target, result.notice, sentAtMs)
-        if (result.response.status >= SERVER_ERROR) {
-            feedback.recordFailure(target, isUnreachable = false, "status ${result.response.status}")
-            exchange.possibleRuns++
-            val mayRunAgain = exchange.isIdempotent && result.response.status != GATEWAY_TIMEOUT
-            if (mayRunAgain && acquireRetry(exchange, target, "status ${result.response.status}")) return null
-            log.log(Events.REQUEST_UNKNOWN, exchange, target, "the target answered ${result.response.status}")
-            return result.response
-        }
+        val status = result.response.status
+        if (status >= SERVER_ERROR || status in NOT_RUN_STATUSES) return failed(exchange, target, result.response)
         val weighedAtMs = nowMs.takeIf { exchange.table.hasLoadControl }
         target.recordResponse(nowMs - sentAtMs, occupancy, exchange.route.isLargeTransfer, weighedAtMs)
         feedback.recordSuccess(target, nowMs)
@@ -173,6 +167,21 @@
         return result.response
     }
 
+    /**
+     * Handles a [response] with which [target] has failed the request. The request may have run, so the caller gets no status that says
+     * otherwise.
+     */
+    private fun failed(exchange: Exchange, target: TargetState, response: HttpResponse): HttpResponse? {
+        val reason = "status ${response.status}"
+        feedback.recordFailure(target, isUnreachable = false, reason)
+        exchange.possibleRuns++
+        val mayRunAgain = exchange.isIdempotent && response.status != GATEWAY_TIMEOUT
+        if (mayRunAgain && acquireRetry(exchange, target, reason)) return null
+        log.log(Events.REQUEST_UNKNOWN, exchange, target, "the target answered ${response.status}")
+        if (response.status !in NOT_RUN_STATUSES) return response
+        return errorResponses.unknown(exchange.id, "the target answered with $reason; the request may have run")
+    }
+
     private suspend fun notRun(exchange: Exchange, target: TargetState, result: TargetResult.NotRun, sentAtMs: Long): HttpResponse? {
         result.notice?.let { feedback.recordNotice(exchange, target, it, sentAtMs) }
         exchange.refusals++
@@ -232,6 +241,9 @@
         const val SERVER_ERROR = 500
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
+
+        /** Statuses that tell a caller that the request has not run and never will. A target says so with [HeaderNames.notRun] only. */
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, UNAVAILABLE)
         const val SAMPLE_ONE_IN = 200
         const val LOGGED_DELAY_MS = 150L
         const val MAX_REFUSALS = 3
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -4,6 +4,8 @@
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
@@ -12,6 +14,7 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.store.KeyedRecord
 import yuccaflow.http.HttpRequest
@@ -87,6 +90,46 @@
             handleRequest("/book/1")
             expectThat(sent).hasSize(1)
         }
+
+        /** Guards against a booking that is made twice, because its caller is told that it has not run although its target ran it. */
+        @ParameterizedTest
+        @ValueSource(ints = [408, 429, 503])
+        fun `passes on no status that says so either`(status: Int) = runTest {
+            results = { served(status) }
+            val response = handleRequest("/book/1")
+            expectThat(response.status).isEqualTo(502)
+            // A failure with the signature of a target has the status that the target gave.
+            expectThat(response.headers[names.signature]).isNull()
+            expectThat(response.headers["Retry-After"]).isNull()
+            expectThat(sent).hasSize(1)
+        }
+
+        /** Guards against the same after a request was repeated and the targets had no other answer. */
+        @Test
+        fun `passes on no such status after the last attempt at an idempotent request`() = runTest {
+            results = { served(503) }
+            expectThat(handleRequest("/read/1").status).isEqualTo(502)
+            expectThat(sent).hasSize(2)
+        }
+
+        /** Guards against a failing target that is chosen again and again, because its failures have a status below 500. */
+        @ParameterizedTest
+        @ValueSource(ints = [408, 429])
+        fun `repeats an idempotent request at another target`(status: Int) = runTest {
+            results = { if (it == 1) served(status) else served() }
+            expectThat(handleRequest("/read/1").status).isEqualTo(200)
+            expectThat(sent.map { it.first }.toSet()).hasSize(2)
+        }
+
+        /** Guards against other failures of a target that are hidden from its callers. */
+        @ParameterizedTest
+        @ValueSource(ints = [400, 404, 409, 500, 501, 504])
+        fun `passes on any other status with its signature`(status: Int) = runTest {
+            results = { served(status) }
+            val response = handleRequest("/book/1")
+            expectThat(response.status).isEqualTo(status)
+            expectThat(response.headers[names.signature]).isEqualTo("sig")
+        }
     }
 
     @Nested
