--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/EntryHandler.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/EntryHandler.kt
@@ -135,7 +135,11 @@
 
     private fun responseTo(outcome: ForwardOutcome, requestId: String): MeteredResponse =
         when (outcome) {
-            is ForwardOutcome.Answered -> MeteredResponse(outcome.toResponse(requestId), "answered")
+            is ForwardOutcome.Answered -> if (outcome.looksRefused()) {
+                refuse(Rejection.UNKNOWN, "the target answered ${outcome.status}; the request may have run", requestId, "failed")
+            } else {
+                MeteredResponse(outcome.toResponse(requestId), "answered")
+            }
             is ForwardOutcome.NotRun -> refuse(Rejection.NOT_RUN, outcome.reason, requestId, outcome.cause.name.lowercase())
             is ForwardOutcome.Unknown -> refuse(Rejection.UNKNOWN, outcome.reason, requestId, "unknown")
         }
--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/Responses.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/routing/Responses.kt
@@ -66,6 +66,13 @@
     )
 }
 
+/**
+ * Returns whether this answer has the status of [Rejection.NOT_RUN] without saying that the request has not run. A caller that goes by the
+ * status would send the request again.
+ */
+internal fun ForwardOutcome.Answered.looksRefused(): Boolean =
+    status == Rejection.NOT_RUN.status && headers.none { it.name.equals(OUTCOME_HEADER, ignoreCase = true) }
+
 /** Converts a target's answer to the response for the caller. */
 internal fun ForwardOutcome.Answered.toResponse(requestId: String): HttpResponse {
     val headers = headers.map { HttpHeader(it.name, it.value) }.endToEnd().filterNot { it.isInternal() && it.name != OUTCOME_HEADER }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/FakeTargets.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/FakeTargets.kt
@@ -29,6 +29,9 @@
     /** Number of requests that it runs at once, given the number that it has answered. It sheds any more. */
     var concurrencyLimit: (answered: Int) -> Int = { slots }
     var serviceMs: () -> Long = { 10 }
+
+    /** The status of its responses to the requests that it has run. */
+    var status = 200
     var onWork: (HttpRequest) -> TargetFault = { TargetFault.NONE }
     var running = 0
     var peak = 0
@@ -81,7 +84,7 @@
         // Starts undispatched, so that the slot is taken before another request of the same moment is checked.
         scope.launch(start = CoroutineStart.UNDISPATCHED) { done.complete(run(target, limits)) }
         return when (withTimeoutOrNull(limits.timeoutMs) { done.await() }) {
-            true -> WorkResult.Answered(HttpResponse(200, body = limits.requestId.encodeToByteArray()), clock)
+            true -> WorkResult.Answered(HttpResponse(target.status, body = limits.requestId.encodeToByteArray()), clock)
             else -> WorkResult.Unknown("no answer")
         }
     }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/routing/AtMostOnceTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/routing/AtMostOnceTest.kt
@@ -52,6 +52,17 @@
             expectTrueOutcome(entry.post("/prest", "X-Request-Id" to "r"), "r", targets)
         }
 
+        /** Guards against the status of a refusal for a request that its target has run and failed. */
+        @Test
+        fun `a request that its target answers with 503 after it has run does not look refused`() = requestPath {
+            val router = router("a")
+            val target = target("t", router) { status = 503 }
+            val response = router.post("/prest", "X-Request-Id" to "r")
+            expectThat(response.status).isEqualTo(504)
+            expectThat(response.headers[OUTCOME_HEADER]).isEqualTo("unknown")
+            expectThat(target.runs).isEqualTo(mutableListOf("r"))
+        }
+
         @Test
         fun `a request that reaches a router which is no longer the primary runs once at the new one`() = requestPath {
             val entry = router("a")
