End the router when its peer transport has failed, instead of running the transport again without a listener

Cause: when DefaultPeerTransport.run ends it closes its listener and cancels the scope of its connections. The supervisor would start it again; each accept then fails, is logged and repeated for ever, and every call to a peer ends unsent. No exception that ends run() is known; the state after one is what the test shows.

Change: a run on an ended transport fails at once. After some failures the supervisor ends the process, which is then started anew.

Test: PeerTransportTest, "a transport that has ended fails at once when it is run again"; failed before (still running after 60 s of virtual time).

--- a/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/DefaultPeerTransport.kt
+++ b/yuccaflow-router/src/main/kotlin/yuccaflow/router/peer/DefaultPeerTransport.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.tinylog.Logger
 import yuccaflow.base.TimerService
@@ -76,7 +77,9 @@
         return result
     }
 
+    /** Runs until cancelled. Fails at once when it is called again: the sockets are closed, so only a restart of the process helps. */
     override suspend fun run() {
+        check(scope.isActive) { "expected an open transport, found one that has ended" }
         try {
             coroutineScope {
                 launch { watchConnections() }
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/peer/PeerTransportTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/peer/PeerTransportTest.kt
@@ -7,15 +7,18 @@
 import io.ktor.utils.io.close
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -110,6 +113,16 @@
             expectThat(a.call(B, Heartbeat(RouterId("a"), 1), 500)).isA<PeerResult.Answered>()
         }
 
+        /** Guards against a router whose failed transport is restarted without a listener, and which other routers cannot reach any more. */
+        @Test
+        fun `a transport that has ended fails at once when it is run again`() = network {
+            val a = node("a")
+            test.testScheduler.runCurrent()
+            runs.getValue(a).cancelAndJoin()
+            val again = withTimeoutOrNull(60_000) { runCatching { a.run() } }
+            expectThat(again?.exceptionOrNull()).isA<IllegalStateException>()
+        }
+
         @Test
         fun `a router that registers under a new id performs the handshake with its peers again`() = network {
             val seen = mutableListOf<RouterId>()
@@ -157,6 +170,7 @@
         val timer = VirtualTimer(test.testScheduler)
         val sockets = mutableListOf<InMemoryPeerSocket>()
         var dials = 0
+        val runs = HashMap<PeerTransport, Job>()
         private val listeners = mutableMapOf<SocketAddress, Channel<PeerSocket>>()
 
         fun node(
@@ -169,8 +183,8 @@
             val address = if (name == "a") A else B
             val incoming = Channel<PeerSocket>(Channel.UNLIMITED).also { listeners[address] = it }
             val context = PeerTransportContext(system, emptyMap(), identity, isKnownPeer, handler, SimpleMeterRegistry(), timer)
-            val scope = CoroutineScope(coroutineContext + SupervisorJob(coroutineContext[kotlinx.coroutines.Job]))
-            return DefaultPeerTransport(address, { incoming.receive() }, ::dial, {}, scope, context).also { launch { it.run() } }
+            val scope = CoroutineScope(coroutineContext + SupervisorJob(coroutineContext[Job]))
+            return DefaultPeerTransport(address, { incoming.receive() }, ::dial, {}, scope, context).also { runs[it] = launch { it.run() } }
         }
 
         private fun dial(address: SocketAddress): PeerSocket {
