Take any answer of another router that cannot be decoded for unknown

Cause: RelayClient caught SerializationException only. The CBOR decoder throws IllegalStateException for a truncated number, and that ended the task that had made the call, such as a follower of a stream or the planner.

Change: every exception of the decoder means an unknown answer, and for a call that is received a status 400 instead of 500.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -1,7 +1,6 @@
 package yuccaflow.entry.peer
 
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import yuccaflow.entry.directory.TargetDirectory
 import yuccaflow.entry.keys.FencedKeyRange
@@ -62,7 +61,8 @@
         if (response.status != OK) return RelayAnswer.Unknown("status ${response.status}")
         return try {
             CBOR.decodeFromByteArray(RelayAnswer.serializer(), response.body)
-        } catch (invalid: SerializationException) {
+        } catch (invalid: Exception) {
+            // The decoder throws other exceptions than SerializationException too, such as for a truncated number.
             RelayAnswer.Unknown("the answer cannot be decoded: ${invalid.message}")
         }
     }
@@ -84,7 +84,7 @@
 ): HttpHandler = HttpHandler { request ->
     val call = try {
         CBOR.decodeFromByteArray(RelayCall.serializer(), request.body)
-    } catch (invalid: SerializationException) {
+    } catch (invalid: Exception) {
         return@HttpHandler HttpResponse(BAD_REQUEST, body = invalid.message.orEmpty().toByteArray())
     }
     val answer = when {
