--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/SocketAddress.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/SocketAddress.kt
@@ -19,6 +19,9 @@
         require(port in 0..MAX_PORT) { "expected a port from 0 to $MAX_PORT, found $port" }
     }
 
+    /** Whether the host can be that of a single server, and is not the unspecified address, a multicast group or the broadcast address. */
+    val isUnicast: Boolean get() = toInet().address.let { !it.isAnyLocalAddress && !it.isMulticastAddress } && host != LIMITED_BROADCAST
+
     override fun toString(): String = if (host.contains(':')) "[$host]:$port" else "$host:$port"
 
     /** Converts to the type that Netty uses. */
@@ -48,6 +51,7 @@
             if (text.any { it in OTHER_NOTATION }) null else NetUtil.createByteArrayFromIpAddressString(text)
 
         private const val MAX_PORT_DIGITS = 5
+        private const val LIMITED_BROADCAST = "255.255.255.255"
 
         /** Characters that Netty accepts around or behind the digits of an IP address. */
         private const val OTHER_NOTATION = "[]%"
