Answer 400 to keys that the router would read differently than a target

Cause: the key of a request was parsed as any integer, while the target gets the text. "+5" or digits of other scripts were routed to the owner of key 5, and numbers outside of the key space got a 503 after a wait, which invites callers to return for ever.

Change: a key has one to five decimal digits and is at most 65535; anything else is a 400, as a missing key was.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -7,6 +7,8 @@
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.ServiceShare
 import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.LAST_KEY
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 import yuccaflow.entry.telemetry.RequestOutcome
@@ -71,8 +73,10 @@
         val service = pickService(route.shares)
         val serviceConfig =
             table.services[service] ?: return errorResponses.refused(id, "service $service is not known", NOT_READY_RETRY_AFTER_MS)
-        val key = request.headers[names.key]?.toIntOrNull()
-        if (serviceConfig.isKeyed && key == null) return errorResponses.invalid(id, "expected a number in ${names.key}")
+        val key = request.headers[names.key]?.let(::parseKeyOrNull)
+        if (serviceConfig.isKeyed && key == null) {
+            return errorResponses.invalid(id, "expected a number from $FIRST_KEY to $LAST_KEY in ${names.key}")
+        }
         val callerTimeoutMs = request.headers[names.deadlineMs]?.toLongOrNull() ?: route.timeoutMs
         val deadlineAtMs = startedAtMs + minOf(callerTimeoutMs - RESPONSE_TRANSIT_MS, route.timeoutMs)
         val exchange =
@@ -231,6 +235,10 @@
         return true
     }
 
+    /** Parses a key of decimal digits. The target gets the same text, and may read any other notation as another key. */
+    private fun parseKeyOrNull(text: String): Int? =
+        text.takeIf { it.length <= MAX_KEY_DIGITS && it.all { char -> char in '0'..'9' } }?.toIntOrNull()?.takeIf { it <= LAST_KEY }
+
     private fun pickService(shares: List<ServiceShare>): String {
         if (shares.size == 1) return shares[0].service
         var left = Random.nextDouble() * shares.sumOf { it.weight }
@@ -244,6 +252,7 @@
 
         /** Statuses that tell a caller that the request has not run and never will. A target says so with [HeaderNames.notRun] only. */
         val NOT_RUN_STATUSES = setOf(408, 421, 429, UNAVAILABLE)
+        const val MAX_KEY_DIGITS = 5
         const val SAMPLE_ONE_IN = 200
         const val LOGGED_DELAY_MS = 150L
         const val MAX_REFUSALS = 3
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/RequestRouterTest.kt
@@ -326,6 +326,17 @@
         expectThat(sent.map { it.first }).containsExactly()
     }
 
+    /** Guards against a key that the router reads in another way than the target that gets the same text. */
+    @ParameterizedTest
+    @ValueSource(strings = ["", "+5", "-1", "65536", "2147483647", "5 ", "0x5", "\u0665", "000005"])
+    fun `rejects a key that is no number of one to five digits in the key space`(key: String) = runTest {
+        handleRequest("/read/1")
+        sent.clear()
+        val keyed = request("/keyed/1").let { HttpRequest(it.method, it.target, it.headers.with(names.key, key), it.body) }
+        expectThat(router.handle(keyed).status).isEqualTo(400)
+        expectThat(sent).hasSize(0)
+    }
+
     /** Guards against a 404 while no routing table is known, after which a caller would not retry. */
     @Test
     fun `answers 503 before the first routing table, and 404 only if the table has no route`() = runTest {
