--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Maintains the router's group membership, and plans while this router is the planner. Runs until cancelled. May be called again after a
-     * run that failed.
+     * Maintains the router's group membership, and plans while this router is the planner. Runs until cancelled. May be called again after
+     * a run that failed.
      */
     suspend fun run() = try {
         runOnce()
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -88,12 +88,14 @@
 
     /** Enforces [assignment] until cancelled. An exception delays only this assignment, and the tasks of the others go on. */
     private suspend fun keepEnforcing(assignment: Assignment) {
+        var hasFailed = false
         while (true) {
             try {
                 enforce(assignment)
             } catch (failure: Exception) {
                 currentCoroutineContext().ensureActive()
-                Logger.error(failure, "enforcing the assignment of keys {} to {} failed", assignment.from, assignment.to)
+                if (!hasFailed) Logger.error(failure, "enforcing the assignment of keys {} to {} failed", assignment.from, assignment.to)
+                hasFailed = true
                 logFailure("enforce", assignment.holder, assignment, failure.toString())
                 markLostIfSilent(assignment)
             }
