Keep the pause that a restarted target asks for before its entry is read

Cause: a target that starts again under its id and address may ask for a pause before the router has read its new entry. The other failure of that test, NoSuchElementException, was the schedule's own: it drew one of no running processes.

Ruled out: that the test takes one process for another; the traces show the answers and the entries of one process.

Change: the next process at the same address takes over a pause that is not over; a pause is recorded for the latest state of the target too; and a request that waits for a connection is withdrawn if the entry of a later process has been read meanwhile. The schedule starts a process when none runs, instead of failing.

Tests: TargetDirectoryTest, "a pause goes on when the entry of the next incarnation at the address is read"; TargetWishesTest, "when the entry of the next process at a target's address is read" (2). All three failed before.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -37,6 +37,9 @@
     /** Returns the state of a target that [find] does not return any more, if its entry was removed a few seconds ago. */
     fun findRemoved(id: String): TargetState? = removedStates[id]
 
+    /** Returns the state of the target that the latest entry with the id of [state] describes. It may be that of a later incarnation. */
+    fun latestOf(state: TargetState): TargetState = states[state.entry.id] ?: removedStates[state.entry.id] ?: state
+
     /** Returns the targets of [service], including draining ones and those in emptied zones. */
     fun ofService(service: String): List<TargetState> = states.values.filter { it.entry.service == service && !isExpired(it) }
 
@@ -101,7 +104,7 @@
         val known = states[entry.id] ?: removedStates[entry.id]
         removedStates -= entry.id
         if (known == null || !known.entry.isSameIncarnation(entry)) {
-            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs, rampUpFactory)
+            states[entry.id] = TargetState(entry, nowMs, writtenAfterMs, rampUpFactory).also { keepPause(known, it, nowMs) }
             logSeen(entry, known)
             return
         }
@@ -115,6 +118,12 @@
         known.update(withKnownDraining(entry, known), nowMs, writtenAfterMs)
     }
 
+    /** The [next] incarnation may be the one that has asked for the pause of [known], because its entry is read some time after its start. */
+    private fun keepPause(known: TargetState?, next: TargetState, nowMs: Long) {
+        val restMs = known?.takeIf { it.entry.address == next.entry.address }?.pauseRestMs(nowMs) ?: 0
+        if (restMs > 0) next.pauseUntil(nowMs + restMs)
+    }
+
     /** Keeps the announcement that a target drains if [entry] may be an older one that a new era of the store has brought back. */
     private fun withKnownDraining(entry: TargetEntry, known: TargetState): TargetEntry {
         val mayBeOlder = eraBeganAtMs?.let { timer.nowMs() - it < OUTAGE_EFFECT_MS } ?: false
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -140,10 +140,14 @@
         }
     }
 
-    /** Returns the time until the deadline, or null if it has passed or [target] may not receive the request any more. */
+    /**
+     * Returns the time until the deadline, or null if it has passed or [target] may not receive the request any more. A later incarnation of
+     * the target may: it is chosen anew, so that what it answers is recorded for it.
+     */
     private fun remainingAtSendMs(exchange: Exchange, target: TargetState, chosenAtMs: Long): Long? {
         logIfDelayed(exchange, target, chosenAtMs)
-        return (exchange.deadlineAtMs - timer.nowMs()).takeIf { it > 0 && selector.mayReceive(exchange, target) }
+        val isLatest = dependencies.directory.latestOf(target) === target
+        return (exchange.deadlineAtMs - timer.nowMs()).takeIf { it > 0 && isLatest && selector.mayReceive(exchange, target) }
     }
 
     /** Logs a request whose first byte leaves long after its target was chosen: what the choice relied on may have changed meanwhile. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/TargetFeedback.kt
@@ -31,7 +31,10 @@
         val service = exchange.serviceConfig.name
         if (request !is PauseRequest.Pause) return meters.targetNotice(service, "invalid_pause")
         val wasPaused = target.pauseRestMs(timer.nowMs()) > 0
-        target.pauseUntil(timer.nowMs() + request.durationMs)
+        val untilMs = timer.nowMs() + request.durationMs
+        target.pauseUntil(untilMs)
+        // The answer may come from an incarnation whose entry was read while the request was in progress.
+        directory.latestOf(target).takeIf { it.entry.address == target.entry.address }?.pauseUntil(untilMs)
         meters.targetNotice(service, "pause")
         if (wasPaused) return
         events.log(Events.TARGET_PAUSED) {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/directory/TargetDirectoryTest.kt
@@ -102,6 +102,17 @@
         expectThat(directory.find("t")!!).isNotSameInstanceAs(before)
     }
 
+    /** Guards against requests to a process that has asked for a pause before its entry was read, so that another one got the credit. */
+    @Test
+    fun `a pause goes on when the entry of the next incarnation at the address is read`() {
+        write(FakeRecords.entry("t", 1, bornMs = 1))
+        directory.find("t")!!.pauseUntil(timer.now + 500)
+        write(FakeRecords.entry("t", 1, bornMs = 2))
+        expectThat(directory.find("t")!!.pauseRestMs(timer.now)).isEqualTo(500)
+        write(FakeRecords.entry("t", 2, bornMs = 3))
+        expectThat(directory.find("t")!!.pauseRestMs(timer.now)).isEqualTo(0)
+    }
+
     /** Guards against new requests to a target that is draining or whose zone is emptied. */
     @Test
     fun `a target that is draining or in an emptied zone accepts no new work`() {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/TargetWishesSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/TargetWishesSimulation.kt
@@ -169,7 +169,10 @@
         RANGE_STARTS.forEach { assign(it, ready(KEYED_SERVICE).random(random)) }
         repeatAfter(5L..30L) { sendRequest() }
         repeatAfter(10L..400L) { if (timer.nowMs() >= storeUnavailableUntilMs) deliverRecords() }
-        repeatAfter(50L..400L) { changeProcess(processes.filter { it.isUp }.random(random)) }
+        repeatAfter(50L..400L) {
+            val process = processes.filter { it.isUp }.randomOrNull(random)
+            if (process == null) startProcess(UNKEYED_SERVICE) else changeProcess(process)
+        }
         repeatAfter(500L..3_000L) { changeStoreOrZone() }
         repeatAfter(100L..2_000L) { moveRanges() }
         repeatAfter(200L..200L) { directory.removeExpired() }
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/TargetWishesTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/routing/TargetWishesTest.kt
@@ -14,7 +14,14 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import yuccaflow.entry.fake.FakeRecords
+import yuccaflow.entry.fake.KEYED_SERVICE
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.entry.store.KeyedRecord
+import yuccaflow.http.HttpRequest
 import yuccaflow.http.HttpResponse
 import yuccaflow.http.HttpResult
 import yuccaflow.http.SocketAddress
@@ -59,6 +66,42 @@
         }
     }
 
+    @Nested
+    @DisplayName("when the entry of the next process at a target's address is read")
+    inner class Restarted {
+        private fun readNextEntry() {
+            val entry = directory.ofService("s").first().entry
+            val change = FakeRecords.targetChange(entry.copy(bornMs = entry.bornMs!! + 1))
+            directory.onRecords(listOf(KeyedRecord(change.key, change.value, 10)), 11, timer.now)
+        }
+
+        /** Guards against an answer of a process that is recorded for the former one, because the request was chosen for that one. */
+        @Test
+        fun `does not send it a request that was waiting for a connection to the former owner of its key`() = runTest {
+            handleRequest("/read/1")
+            sent.clear()
+            val entry = FakeRecords.entry("k", 9)
+            val next = FakeRecords.targetRecord(entry.copy(bornMs = 2), 11)
+            directory.onRecords(listOf(FakeRecords.targetRecord(entry, 10)), 11, timer.now)
+            val change = ClusterState.rangeChange(Assignment(KEYED_SERVICE, FIRST_KEY, LAST_KEY, incarnationOf(entry), generation = 1))
+            clusterState.onRecords(listOf(KeyedRecord(change.key, change.value, 1)), 2)
+            waitForConnection = { directory.onRecords(listOf(next), 12, timer.now) }
+            val keyed = request("/keyed/1").let { HttpRequest(it.method, it.target, it.headers.with(names.key, "5"), it.body) }
+            expectThat(router.handle(keyed).status).isEqualTo(503)
+            expectThat(sent).hasSize(0)
+        }
+
+        /** Guards against a pause that is recorded for the former process only, so that the one that asked for it gets requests. */
+        @Test
+        fun `respects the pause for which it asks in response to a request in progress`() = runTest {
+            results = { shedWithPause("2.5").also { readNextEntry() } }
+            handleRequest("/book/1", targets = 1)
+            sent.clear()
+            expectThat(router.handle(request("/book/1")).status).isEqualTo(503)
+            expectThat(sent).hasSize(0)
+        }
+    }
+
     @Nested
     @DisplayName("given a target that asks for a pause")
     inner class PausedTargets {
