Apply the limits in force to each request, also on connections that are older than they are

Cause: a connection read the limits once, when it was accepted. Before the first table these were the defaults of the server (bodies of 1,048,576 bytes, 60 s of idling), which nobody had set.

Change: the limits are read anew for each request and each time of idling. The decoder, whose limits Netty fixes, replaces itself between two requests when they have changed.

Why it works: no limit outlives the request that it was read for.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -126,6 +126,7 @@
     private val storeEra = StoreEra(events)
     private val storeAccess = EraCheckedStore(failoverAccess, storeEra)
     private val operators = OperatorState(platform.decoder, timer, events)
+    private val callerLimits = CallerServerLimits(settings.headers.requestId, operators::table)
     private val directory: TargetDirectory =
         TargetDirectory(platform.decoder, operators, timer, events) { targetsFollower.failedAtMs }
     private val clusterState = ClusterState(timer, events)
@@ -179,7 +180,7 @@
     suspend fun run(stop: CompletableJob) {
         logStart()
         registerGauges()
-        val callers = httpServer(settings.callerListen, dispatchers.queued, ::callerLimits, requestRouter())
+        val callers = httpServer(settings.callerListen, dispatchers.queued, callerLimits::current, requestRouter())
         val readiness =
             httpServer(settings.readyListen, dispatchers.queued, { HttpServerLimits() }, HttpHandler { readinessResponse(it.path) })
         val metrics =
@@ -316,18 +317,6 @@
         return RequestRouter(dependencies, settings.headers, timer, events)
     }
 
-    private fun callerLimits(): HttpServerLimits {
-        val base = HttpServerLimits(pipelineDepth = PIPELINE_DEPTH, requestIdHeader = settings.headers.requestId)
-        val limits = operators.table?.callerLimits ?: return base
-        return base.copy(
-            headerLimitBytes = limits.headerBytes,
-            requestLineLimitBytes = limits.headerBytes,
-            bodyLimitBytes = limits.bodyBytes,
-            requestTimeoutMs = limits.requestTimeoutMs,
-            idleTimeoutMs = limits.idleTimeoutMs,
-        )
-    }
-
     /** Long-polling reads keep their connections busy for a long time. */
     private fun relayLimits() = HttpServerLimits(bodyLimitBytes = RELAY_BODY_LIMIT_BYTES)
 
@@ -392,7 +381,6 @@
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
         const val METRICS_PATH = "/metrics"
-        const val PIPELINE_DEPTH = 16
 
         // Delays after records have arrived, so that one read returns several. Operators publish rarely, and a late event loop would make
         // the delay longer.
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -9,7 +9,7 @@
     suspend fun handle(request: HttpRequest): HttpResponse
 }
 
-/** Limits of a server. All but [connectionLimit] apply to each connection. */
+/** Limits of a server. All but [connectionLimit] apply to each connection, and [pipelineDepth] for as long as it is open. */
 data class HttpServerLimits(
     val headerLimitBytes: Int = 16_384,
     val requestLineLimitBytes: Int = 8_192,
@@ -54,6 +54,9 @@
 fun httpServer(listen: SocketAddress, limits: HttpServerLimits, handler: HttpHandler): HttpServer =
     NettyHttpServer(listen, Dispatchers.Default, { limits }, handler)
 
-/** Like the other overload, but handlers run on [dispatcher], and [limits] are read anew for each connection. */
+/**
+ * Like the other overload, but handlers run on [dispatcher], and [limits] are read anew for each request. They are called often, by all
+ * event loops.
+ */
 fun httpServer(listen: SocketAddress, dispatcher: CoroutineDispatcher, limits: () -> HttpServerLimits, handler: HttpHandler): HttpServer =
     NettyHttpServer(listen, dispatcher, limits, handler)
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpServer.kt
@@ -26,7 +26,7 @@
 internal class NettyHttpServer(
     listen: SocketAddress,
     dispatcher: CoroutineDispatcher,
-    private val limitsSource: () -> HttpServerLimits,
+    private val limits: () -> HttpServerLimits,
     private val handler: HttpHandler,
     group: EventLoopGroup = EventLoops.group,
     private val memory: MessageMemory = MessageMemory.ofProcess,
@@ -74,11 +74,10 @@
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val events = InboundEventQueue()
-            val limits = limitsSource()
             val account = MemoryAccount(memory)
             channel.pipeline().addLast(StrictRequestDecoder(limits, account), HttpResponseEncoder(), events)
             val connection = ServerConnection(channel, events, limits, handler, ShutdownState({ closing }, { draining }), account)
-            val overLimit = connections.size >= limits.connectionLimit
+            val overLimit = connections.size >= limits().connectionLimit
             val job = scope.launch { if (overLimit) connection.refuseConnection() else connection.serve() }
             connections[job] = events
             job.invokeOnCompletion {
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/ServerConnection.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
+import java.util.concurrent.TimeUnit
 
 /** The progress of a server's shutdown: first responses announce the close of their connections, then idle connections are closed. */
 internal class ShutdownState(
@@ -29,17 +30,17 @@
 
 /**
  * One connection from a caller. Its coroutine runs [serve], which reads requests, starts their handlers and sends responses in order. The
- * owner of [account] closes it when the coroutine has ended.
+ * owner of [account] closes it when the coroutine has ended. [limits] are read anew for each request, and for each time of idling.
  */
 internal class ServerConnection(
     private val channel: SocketChannel,
     private val events: InboundEventQueue,
-    private val limits: HttpServerLimits,
+    private val limits: () -> HttpServerLimits,
     private val handler: HttpHandler,
     private val shutdown: ShutdownState,
     private val account: MemoryAccount,
 ) {
-    private val pipelineSlots = Semaphore(limits.pipelineDepth)
+    private val pipelineSlots = Semaphore(limits().pipelineDepth)
     private val exchanges = Channel<Exchange>(Channel.UNLIMITED)
 
     /** Number of requests that were read and whose response is not ready yet. */
@@ -71,7 +72,7 @@
     /** Refuses the connection because the server is at its connection limit. */
     suspend fun refuseConnection() {
         try {
-            refuse(refusal(UNAVAILABLE, "overloaded", "too many connections", NOT_RUN, null, limits.requestIdHeader).retryLater())
+            refuse(refusal(UNAVAILABLE, "overloaded", "too many connections", NOT_RUN, null, limits().requestIdHeader).retryLater())
         } finally {
             channel.close()
         }
@@ -82,13 +83,14 @@
         while (true) {
             pipelineSlots.acquire()
             if (isClosing || !awaitRequest()) return null
-            val reader = RequestReader(events, limits, account, ::sendContinue)
-            val read = withTimeoutOrNull(limits.requestTimeoutMs) { reader.read() }
+            val requestLimits = limits()
+            val reader = RequestReader(events, requestLimits, account, ::sendContinue)
+            val read = withTimeoutOrNull(requestLimits.requestTimeoutMs) { reader.read() }
                 ?: RequestRead.Rejected(REQUEST_TIMEOUT, "slow caller", "the request did not arrive in time")
             when (read) {
                 RequestRead.Disconnected -> return null
                 is RequestRead.Rejected -> {
-                    val refusal = refusal(read.status, read.error, read.reason, NOT_RUN, reader.requestId, limits.requestIdHeader)
+                    val refusal = refusal(read.status, read.error, read.reason, NOT_RUN, reader.requestId, requestLimits.requestIdHeader)
                     return if (read.isTemporary) refusal.retryLater() else refusal
                 }
                 is RequestRead.Complete -> {
@@ -128,20 +130,27 @@
      * whereas a request that is taken here may not be complete when the shutdown ends.
      */
     private suspend fun awaitRequest(): Boolean {
+        var idleSinceNanos = System.nanoTime()
         while (true) {
             if (shutdown.isAnnounced() && pendingResponses > 0) return false
             // Callers that are about to send a request get a response with `Connection: close` instead of a closed connection.
-            val waitMs = if (shutdown.isDraining()) DRAIN_IDLE_MS else limits.idleTimeoutMs
+            val waitMs = if (shutdown.isDraining()) DRAIN_IDLE_MS else idleRestMs(idleSinceNanos)
             val event = withTimeoutOrNull(waitMs) { events.receive() }
             when {
                 event == InboundEvent.ShutdownProgressed -> continue
                 event != null -> return event == InboundEvent.Started
+                !channel.isActive -> return false
                 // A connection with pending responses is not idle.
-                pendingResponses == 0 || !channel.isActive -> return false
+                pendingResponses > 0 -> idleSinceNanos = System.nanoTime()
+                // The idle time may have become longer during the wait.
+                shutdown.isDraining() || idleRestMs(idleSinceNanos) <= 0 -> return false
             }
         }
     }
 
+    private fun idleRestMs(sinceNanos: Long): Long =
+        limits().idleTimeoutMs - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos)
+
     /** Handles [request] and releases the memory of its body. That of its head and of the response is reserved until that has been sent. */
     private suspend fun handle(request: HttpRequest): HttpResponse = try {
         respond(request).also { account.reserve(it.sizeBytes()) }
@@ -181,7 +190,7 @@
 
     /** Writes a message. Returns false when the connection is closed or the caller does not receive the message in time. */
     private suspend fun write(message: FullHttpResponse): Boolean =
-        withTimeoutOrNull(limits.responseTimeoutMs) { channel.writeAndFlush(message).awaitFailure() == null } ?: false
+        withTimeoutOrNull(limits().responseTimeoutMs) { channel.writeAndFlush(message).awaitFailure() == null } ?: false
 
     /** Discards what the caller still sends: closing a socket with unread bytes would make the kernel drop the response. */
     private suspend fun closeGracefully() {
@@ -208,8 +217,8 @@
     }
 
     private fun internalError(request: HttpRequest): HttpResponse {
-        val id = request.headers[limits.requestIdHeader]
-        return refusal(INTERNAL_ERROR, "internal error", "the request handler failed", "unknown", id, limits.requestIdHeader)
+        val id = request.headers[limits().requestIdHeader]
+        return refusal(INTERNAL_ERROR, "internal error", "the request handler failed", "unknown", id, limits().requestIdHeader)
     }
 
     private fun HttpResponse.sizeBytes() = HeadSize.of(headers) + body.size
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/StrictRequestDecoder.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/StrictRequestDecoder.kt
@@ -13,22 +13,42 @@
  * A request decoder that also reports the first byte of each request, reserves memory for heads in [account], and rejects two defects that
  * Netty would repair: a request with both Content-Length and Transfer-Encoding, and folded header lines. If another HTTP implementation on
  * the path repaired them differently, callers could smuggle requests.
+ *
+ * Netty fixes the limits of a decoder when it is created. When [latestLimits] returns other ones between two requests, this decoder
+ * replaces itself.
  */
-internal class StrictRequestDecoder(
-    limits: HttpServerLimits,
-    account: MemoryAccount,
+internal class StrictRequestDecoder private constructor(
+    private val limits: HttpServerLimits,
+    private val latestLimits: () -> HttpServerLimits,
+    private val account: MemoryAccount,
 ) : HttpRequestDecoder(
         HttpDecoderConfig()
             .setMaxInitialLineLength(limits.requestLineLimitBytes)
             .setMaxHeaderSize(limits.headerLimitBytes)
             .setAllowDuplicateContentLengths(false),
     ) {
+    constructor(limits: () -> HttpServerLimits, account: MemoryAccount) : this(limits(), limits, account)
+
     private var isStarted = false
     private var isInHead = true
     private var isPastRequestLine = false
     private val meter = HeadMeter(account)
     private var isOutOfMemory = false
 
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val latest = latestLimits()
+        if (isStarted || hasLimitsOf(latest)) {
+            super.channelRead(context, message)
+            return
+        }
+        val next = StrictRequestDecoder(latest, latestLimits, account)
+        context.pipeline().replace(this, null, next)
+        next.channelRead(context.pipeline().context(next), message)
+    }
+
+    private fun hasLimitsOf(latest: HttpServerLimits) =
+        limits.requestLineLimitBytes == latest.requestLineLimitBytes && limits.headerLimitBytes == latest.headerLimitBytes
+
     override fun createMessage(initialLine: Array<String>): HttpMessage = super.createMessage(initialLine).also(meter::onStartLine)
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
--- a/yuccaflow-router/src/test/kotlin/yuccaflow/router/peer/PeerTransportTest.kt
+++ b/yuccaflow-router/src/test/kotlin/yuccaflow/router/peer/PeerTransportTest.kt
@@ -113,7 +113,7 @@
             expectThat(a.call(B, Heartbeat(RouterId("a"), 1), 500)).isA<PeerResult.Answered>()
         }
 
-        /** Guards against a router whose failed transport is restarted without a listener, and which other routers cannot reach any more. */
+        /** Guards against a router whose failed transport is restarted without a listener, so that other routers cannot reach it. */
         @Test
         fun `a transport that has ended fails at once when it is run again`() = network {
             val a = node("a")
