--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -22,6 +22,7 @@
 import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.KeyOwnershipSettings
 import yuccaflow.entry.keys.KeyPlanner
+import yuccaflow.entry.keys.MemberRegistration
 import yuccaflow.entry.keys.PlannerAuthority
 import yuccaflow.entry.keys.PlannerCandidacy
 import yuccaflow.entry.keys.PlannerDependencies
@@ -46,7 +47,6 @@
 import yuccaflow.entry.routing.RoutingDependencies
 import yuccaflow.entry.routing.TargetClient
 import yuccaflow.entry.store.EraCheckedStore
-import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.store.RouterGroup
@@ -217,7 +217,7 @@
             streamTask("records") { clusterStateFollower.run() },
             streamTask("store") { directStoreAccess.checkAvailability() },
             SupervisedTask("event-loop") { eventLoopMonitor.run() },
-            SupervisedTask("member") { announceMember() },
+            SupervisedTask("member") { MemberRegistration(storeAccess, clusterState, storeEra, timer).run(ownMember()) },
             SupervisedTask("planner") { planner.run() },
             streamTask("reports") { routerReporter().run() },
         )
@@ -236,28 +236,9 @@
     private fun streamTask(name: String, run: suspend () -> Unit) =
         SupervisedTask(name) { withContext(dispatchers.immediate) { run() } }
 
-    /**
-     * Adds this router to the members, again in each new era of the store that may lack it, until cancelled. Limits that all routers share
-     * are divided by the number of members.
-     */
-    private suspend fun announceMember() {
-        while (clusterState.endOffset == null) timer.sleep(ANNOUNCE_RETRY_MS)
+    private fun ownMember(): RouterMember {
         val capacity = settings.capacity
-        val member = RouterMember(settings.node, settings.zone, settings.relayListen.toString(), capacity.cores, capacity.linkMbps)
-        while (true) {
-            val era = clusterState.era
-            writeMember(member)
-            storeEra.awaitNewerThan(era)
-            while (clusterState.era <= era) timer.sleep(ANNOUNCE_RETRY_MS)
-        }
-    }
-
-    private suspend fun writeMember(member: RouterMember) {
-        while (!clusterState.hasMember(member)) {
-            val result = storeAccess.append(KeyedStream.ROUTERS, listOf(ClusterState.memberChange(member)), null)
-            if (result is KeyedAppendResult.Appended) return
-            timer.sleep(ANNOUNCE_RETRY_MS)
-        }
+        return RouterMember(settings.node, settings.zone, settings.relayListen.toString(), capacity.cores, capacity.linkMbps)
     }
 
     private fun electionDependencies() =
@@ -387,7 +368,6 @@
         const val OPERATORS_BATCH_DELAY_MS = 0L
         const val TARGETS_BATCH_DELAY_MS = 200L
 
-        const val ANNOUNCE_RETRY_MS = 500L
         const val RELAY_BODY_LIMIT_BYTES = 2_097_152
 
         /** Time for the event log to write its last lines. */
