--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/Gateway.kt
@@ -342,6 +342,8 @@
     private fun logStart() = events.log(Events.STARTED) {
         put("life", incarnationId)
         put("caller_listen", settings.callerListen.toString())
+        put("capacity_cores", settings.capacity.cores)
+        put("link_mbps", settings.capacity.linkMbps)
     }
 
     /** Leaves the load balancer's rotation, completes the requests in flight and closes idle connections, all within the grace time. */
