Send no grant to a target whose next process is known

Cause: mostly that the planner went on renewing after it had read the entry of the new process, until its next round (up to 200 ms), the append of new generations and the read of that.

Change: the directory is asked before each grant, and again on the connection before the first byte.

Test: RangeGrantManagerTest, "sends no renewal to a target whose next incarnation is known"; failed before.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
@@ -189,7 +189,8 @@
             lockOf(assignment.generation).withLock {
                 if (!planner.hasAuthority()) return@withLock KeyGrantResult.NotSent("the authority has expired")
                 if (currentTask?.isActive == false) return@withLock KeyGrantResult.NotSent("the assignment was replaced")
-                send(target, range, handover)
+                if (hasRestarted(assignment.holder)) return@withLock KeyGrantResult.NotSent("the target has restarted")
+                send(target, range, handover) { planner.hasAuthority() && !hasRestarted(assignment.holder) }
             }
         }
         when (result) {
@@ -204,10 +205,10 @@
         return result
     }
 
-    private suspend fun send(target: TargetEndpoint, range: FencedKeyRange, handover: String?): KeyGrantResult {
+    private suspend fun send(target: TargetEndpoint, range: FencedKeyRange, handover: String?, maySend: () -> Boolean): KeyGrantResult {
         val previousMs = latestArrivalMs[range.generation]
         latestArrivalMs[range.generation] = timer.nowMs() + settings.grantTimeoutMs
-        val result = grantClient.grant(target, range, settings.grantDurationMs, handover, settings.grantTimeoutMs, planner::hasAuthority)
+        val result = grantClient.grant(target, range, settings.grantDurationMs, handover, settings.grantTimeoutMs, maySend)
         when (result) {
             is KeyGrantResult.NotSent, is KeyGrantResult.ConnectionRefused ->
                 if (previousMs == null) latestArrivalMs -= range.generation else latestArrivalMs[range.generation] = previousMs
@@ -239,8 +240,16 @@
      */
     private fun hasRestartedElsewhere(holder: TargetIncarnation): Boolean {
         val entry = directory.find(holder.target)?.entry ?: return false
-        val bornMs = entry.bornMs ?: return false
-        return holder.bornMs != null && bornMs > holder.bornMs && entry.address.toString() != holder.address
+        return hasRestarted(holder) && entry.address.toString() != holder.address
+    }
+
+    /**
+     * Returns whether the entry of a newer incarnation of the target is known. That one holds nothing, so it accepts any generation, also
+     * one that [holder] had.
+     */
+    private fun hasRestarted(holder: TargetIncarnation): Boolean {
+        val bornMs = directory.find(holder.target)?.entry?.bornMs ?: return false
+        return holder.bornMs != null && bornMs > holder.bornMs
     }
 
     private fun endpointOf(holder: TargetIncarnation) =
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
@@ -173,6 +173,20 @@
         }
     }
 
+    /** Guards against a restarted target, which holds nothing, that is given keys with the generation of its former incarnation (OWNER). */
+    @Test
+    fun `sends no renewal to a target whose next incarnation is known`() {
+        val entry = FakeRecords.entry("t1", 2)
+        directory.onRecords(listOf(FakeRecords.targetRecord(entry, 1)), 2)
+        grantManager.reconcile(scope, listOf(assignment(1, 5)))
+        advance(2_000)
+        expectThat(sentCalls).isNotEmpty()
+        directory.onRecords(listOf(FakeRecords.targetRecord(entry.copy(bornMs = 2), 2)), 3)
+        sentCalls.clear()
+        advance(5_000)
+        expectThat(sentCalls).isEmpty()
+    }
+
     /** Guards against keys that stay without an owner although their target has ended and another one uses its address. */
     @Test
     fun `takes the keys at once from a target at whose address another one answers`() {
