--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/CallerServerLimits.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/CallerServerLimits.kt
@@ -7,8 +7,8 @@
 /**
  * The limits of the server for callers, from the [table] in force. Confined to the event loop.
  *
- * Before the first table, only the memory of the process limits a body: no caller may be told that its request is too large for good while
- * nobody knows what the operators allow.
+ * Before the first table, the limits are wide, and in effect the memory of the process: no caller may be told that its request is too large
+ * for good while this router does not know what the operators allow.
  */
 internal class CallerServerLimits(
     requestIdHeader: String,
@@ -16,7 +16,11 @@
 ) {
     private val base = HttpServerLimits(pipelineDepth = PIPELINE_DEPTH, requestIdHeader = requestIdHeader)
     private var source: CallerLimits? = null
-    private var latest = base.copy(bodyLimitBytes = Int.MAX_VALUE)
+    private var latest = base.copy(
+        headerLimitBytes = WIDE_HEADER_BYTES,
+        requestLineLimitBytes = WIDE_HEADER_BYTES,
+        bodyLimitBytes = Int.MAX_VALUE,
+    )
 
     /** Returns the limits that are in force now. */
     fun current(): HttpServerLimits {
@@ -39,5 +43,6 @@
     private companion object {
         /** Requests of one connection that are handled at the same time. */
         const val PIPELINE_DEPTH = 16
+        const val WIDE_HEADER_BYTES = 65_536
     }
 }
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/directory/TargetDirectory.kt
@@ -118,7 +118,7 @@
         known.update(withKnownDraining(entry, known), nowMs, writtenAfterMs)
     }
 
-    /** The [next] incarnation may be the one that has asked for the pause of [known], because its entry is read some time after its start. */
+    /** The [next] incarnation may be the one that has asked for the pause of [known]: its entry is read some time after its start. */
     private fun keepPause(known: TargetState?, next: TargetState, nowMs: Long) {
         val restMs = known?.takeIf { it.entry.address == next.entry.address }?.pauseRestMs(nowMs) ?: 0
         if (restMs > 0) next.pauseUntil(nowMs + restMs)
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/routing/RequestRouter.kt
@@ -141,8 +141,8 @@
     }
 
     /**
-     * Returns the time until the deadline, or null if it has passed or [target] may not receive the request any more. A later incarnation of
-     * the target may: it is chosen anew, so that what it answers is recorded for it.
+     * Returns the time until the deadline, or null if it has passed or [target] may not receive the request any more. If a later
+     * incarnation of the target is known, the request must be given to that one, so that its answer is recorded for it.
      */
     private fun remainingAtSendMs(exchange: Exchange, target: TargetState, chosenAtMs: Long): Long? {
         logIfDelayed(exchange, target, chosenAtMs)
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/CallerServerLimitsTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/CallerServerLimitsTest.kt
@@ -24,8 +24,13 @@
 
     /** Guards against proper requests that are refused for good because the router has not read the operators' limits yet. */
     @Test
-    fun `do not bound bodies before the first table`() {
-        expectThat(limits.current().bodyLimitBytes).isGreaterThan(tableWith(67_108_864).callerLimits.bodyBytes)
+    fun `are wide before the first table`() {
+        val first = tableWith(67_108_864).callerLimits
+        expectThat(limits.current()) {
+            get { bodyLimitBytes }.isGreaterThan(first.bodyBytes)
+            get { headerLimitBytes }.isGreaterThan(first.headerBytes)
+            get { requestLineLimitBytes }.isGreaterThan(first.headerBytes)
+        }
     }
 
     @Test
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/HttpServer.kt
@@ -55,8 +55,8 @@
     NettyHttpServer(listen, Dispatchers.Default, { limits }, handler)
 
 /**
- * Like the other overload, but handlers run on [dispatcher], and [limits] are read anew for each request. They are called often, by all
- * event loops.
+ * Like the other overload, but handlers run on [dispatcher], and [limits] is called for each request, so that changed limits apply to open
+ * connections too. It is called on [dispatcher] and on the event loops.
  */
 fun httpServer(listen: SocketAddress, dispatcher: CoroutineDispatcher, limits: () -> HttpServerLimits, handler: HttpHandler): HttpServer =
     NettyHttpServer(listen, dispatcher, limits, handler)
--- a/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
+++ b/yuccaflow-http/src/main/kotlin/yuccaflow/http/NettyHttpClient.kt
@@ -81,7 +81,7 @@
         }
     }
 
-    /** Carries out [call]. An exception becomes a result too, because callers take the lack of one for no failure of the server. */
+    /** Carries out [call]. An exception becomes a result too: senders act on results only, and would not count it as a failure. */
     private suspend fun resultOf(call: Call, pool: ConnectionPool): HttpResult = try {
         pool.permits.withPermit { exchange(pool, call) }
     } catch (cancelled: CancellationException) {
