Sort the files of keys into planner and balance

Records, settings and the state of ownership stay; the planner with its election and grants, and the balancing of keys by load, have packages of their own, and their tests too. Packages and imports only.

--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyCutFinder.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/KeyCutFinder.kt
@@ -1,4 +1,6 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
+
+import yuccaflow.entry.keys.Assignment
 
 /** Keys of [assignment] that no move of the current round has taken. */
 internal class KeySegment(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyLoadSpreader.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/KeyLoadSpreader.kt
@@ -1,5 +1,8 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.TargetIncarnation
 import kotlin.math.max
 import kotlin.math.min
 import kotlin.math.sqrt
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyRangeBalancer.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/KeyRangeBalancer.kt
@@ -1,5 +1,9 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.TargetIncarnation
 import kotlin.math.abs
 import kotlin.math.ceil
 import kotlin.math.max
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeySampleWindow.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/KeySampleWindow.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
 import yuccaflow.base.TimerService
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RecentMoves.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/RecentMoves.kt
@@ -1,6 +1,7 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.keys.TargetIncarnation
 
 /**
  * The moves of the last [RETENTION_MS] that balanced load. It keeps keys from moving back to a former owner, whose load looks low only
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/SampledKeyLoad.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/SampledKeyLoad.kt
@@ -1,4 +1,6 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
+
+import yuccaflow.entry.keys.LAST_KEY
 
 /** The load of key ranges, measured in the requests of a [sample] of keys, which is sorted. */
 internal class SampledKeyLoad(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/ServiceTimeTracker.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/balance/ServiceTimeTracker.kt
@@ -1,8 +1,10 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
 import kotlinx.serialization.Serializable
 import yuccaflow.base.TimerService
 import yuccaflow.entry.balance.TargetState
+import yuccaflow.entry.keys.TargetIncarnation
+import yuccaflow.entry.keys.incarnationOf
 
 /**
  * A router's service time of one target.
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/AssignmentBatch.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/planner/AssignmentBatch.kt
@@ -1,5 +1,10 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.FormerHolder
+import yuccaflow.entry.keys.balance.KeyMove
+import yuccaflow.entry.keys.generationOf
 import yuccaflow.entry.store.KeyedChange
 import java.util.TreeMap
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/KeyPlanner.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/planner/KeyPlanner.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -9,6 +9,23 @@
 import yuccaflow.entry.balance.TargetState
 import yuccaflow.entry.config.OperatorState
 import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.KeyGrantClient
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.SameZoneRelease
+import yuccaflow.entry.keys.TargetIncarnation
+import yuccaflow.entry.keys.balance.BalanceRound
+import yuccaflow.entry.keys.balance.CandidateTarget
+import yuccaflow.entry.keys.balance.KeyLoadSpreader
+import yuccaflow.entry.keys.balance.KeyLoadTracker
+import yuccaflow.entry.keys.balance.KeyMove
+import yuccaflow.entry.keys.balance.KeyRangeBalancer
+import yuccaflow.entry.keys.balance.KeySampleWindow
+import yuccaflow.entry.keys.balance.RecentMoves
+import yuccaflow.entry.keys.describe
+import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerAuthority.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/planner/PlannerAuthority.kt
@@ -1,7 +1,9 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import yuccaflow.base.SuspensionDetector
 import yuccaflow.base.TimerService
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.KeyOwnershipSettings
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerCandidacy.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/planner/PlannerCandidacy.kt
@@ -1,6 +1,9 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.HostCapacity
+import yuccaflow.entry.keys.KeyOwnershipSettings
 
 /**
  * Decides whether this router stands for planner. The planner calls every target of the keyed services several times in a few seconds,
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/PlannerElection.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/planner/PlannerElection.kt
@@ -1,6 +1,11 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import yuccaflow.base.TimerService
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.PlannerTerm
+import yuccaflow.entry.keys.generationOf
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedStore
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/RangeGrantManager.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/keys/planner/RangeGrantManager.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -12,6 +12,17 @@
 import org.tinylog.Logger
 import yuccaflow.base.TimerService
 import yuccaflow.entry.directory.TargetDirectory
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.FencedKeyRange
+import yuccaflow.entry.keys.FormerHolder
+import yuccaflow.entry.keys.KeyGrantClient
+import yuccaflow.entry.keys.KeyGrantResult
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.SameZoneRelease
+import yuccaflow.entry.keys.TargetEndpoint
+import yuccaflow.entry.keys.TargetIncarnation
+import yuccaflow.entry.keys.describe
+import yuccaflow.entry.keys.find
 import yuccaflow.entry.telemetry.EventLog
 import yuccaflow.entry.telemetry.Events
 import yuccaflow.http.SocketAddress
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerEndpoint.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/PlannerEndpoint.kt
@@ -2,7 +2,7 @@
 
 import yuccaflow.base.TimerService
 import yuccaflow.entry.keys.ClusterState
-import yuccaflow.entry.keys.PlannerAuthority
+import yuccaflow.entry.keys.planner.PlannerAuthority
 
 /** Answers the planner-specific calls of other routers, as far as this router is the planner. */
 internal class PlannerEndpoint(
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayClient.kt
@@ -6,8 +6,8 @@
 import yuccaflow.entry.keys.FencedKeyRange
 import yuccaflow.entry.keys.KeyGrantClient
 import yuccaflow.entry.keys.KeyGrantResult
-import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.TargetEndpoint
+import yuccaflow.entry.keys.balance.KeyLoadTracker
 import yuccaflow.entry.keys.find
 import yuccaflow.http.HttpClient
 import yuccaflow.http.HttpHandler
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayMessages.kt
@@ -1,8 +1,8 @@
 package yuccaflow.entry.peer
 
 import kotlinx.serialization.Serializable
-import yuccaflow.entry.keys.ReportedServiceTime
 import yuccaflow.entry.keys.TargetIncarnation
+import yuccaflow.entry.keys.balance.ReportedServiceTime
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedChange
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayPlannerProbe.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RelayPlannerProbe.kt
@@ -1,7 +1,7 @@
 package yuccaflow.entry.peer
 
-import yuccaflow.entry.keys.PlannerProbe
 import yuccaflow.entry.keys.PlannerTerm
+import yuccaflow.entry.keys.planner.PlannerProbe
 import yuccaflow.http.SocketAddress
 
 /** [PlannerProbe] that calls the relay of the planner's router. [relayOf] returns the relay address of a router, or null if not known. */
--- a/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
+++ b/yuccaflow-entry/src/main/kotlin/yuccaflow/entry/peer/RouterReporter.kt
@@ -5,8 +5,8 @@
 import yuccaflow.base.TimerService
 import yuccaflow.entry.config.RoutingTable
 import yuccaflow.entry.directory.TargetDirectory
-import yuccaflow.entry.keys.KeyLoadTracker
-import yuccaflow.entry.keys.ReportedServiceTime
+import yuccaflow.entry.keys.balance.KeyLoadTracker
+import yuccaflow.entry.keys.balance.ReportedServiceTime
 import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.http.SocketAddress
 import kotlin.random.Random
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/KeyLoadSpreaderTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/balance/KeyLoadSpreaderTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.junit.jupiter.api.DisplayName
@@ -14,6 +14,12 @@
 import strikt.assertions.isTrue
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.FormerHolder
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.incarnationOf
+import yuccaflow.entry.keys.planner.AssignmentBatch
 import kotlin.random.Random
 
 @DisplayName("A key load spreader")
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/KeyRangeBalancerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/balance/KeyRangeBalancerTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
@@ -10,6 +10,12 @@
 import strikt.assertions.isIn
 import strikt.assertions.isNotEmpty
 import yuccaflow.entry.fake.FakeRecords
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.FormerHolder
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.incarnationOf
+import yuccaflow.entry.keys.planner.AssignmentBatch
 
 @DisplayName("A key range balancer")
 class KeyRangeBalancerTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/ServiceTimeTrackerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/balance/ServiceTimeTrackerTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.balance
 
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import kotlinx.serialization.Serializable
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/ExclusiveOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/ExclusiveOwnershipTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.DisplayName
@@ -9,6 +9,10 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import yuccaflow.entry.fake.KEYED_SERVICE
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.FencedKeyRange
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.LAST_KEY
 
 @DisplayName("Key ownership with several planners")
 class ExclusiveOwnershipTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/FailingPlannerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/FailingPlannerTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
@@ -7,6 +7,8 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.LAST_KEY
 
 @DisplayName("A planner in which an exception is thrown")
 class FailingPlannerTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/FirstPlannerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/FirstPlannerTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancel
@@ -16,6 +16,10 @@
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.HostCapacity
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.RouterMember
 import yuccaflow.entry.store.FollowerSettings
 import yuccaflow.entry.store.JoinResult
 import yuccaflow.entry.store.KeyedStream
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/LostRecordsOwnershipTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/LostRecordsOwnershipTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
@@ -6,6 +6,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import yuccaflow.entry.keys.LAST_KEY
 
 @DisplayName("Key ownership after the store has lost its last records")
 class LostRecordsOwnershipTest {
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerBalancingTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/PlannerBalancingTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
@@ -10,6 +10,8 @@
 import yuccaflow.entry.fake.FakeRecords
 import yuccaflow.entry.fake.KEYED_SERVICE
 import yuccaflow.entry.fake.LOAD_CONTROL_VERSION
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.balance.ReportedServiceTime
 import yuccaflow.entry.store.KeyedStream
 import yuccaflow.entry.telemetry.Events
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerCandidacyTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/PlannerCandidacyTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.junit.jupiter.api.DisplayName
@@ -9,6 +9,11 @@
 import strikt.assertions.isTrue
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.HostCapacity
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.PlannerTerm
+import yuccaflow.entry.keys.RouterMember
 import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedRecord
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerFailoverTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/PlannerFailoverTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
@@ -14,6 +14,10 @@
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.LAST_KEY
+import yuccaflow.entry.keys.PlannerTerm
 import yuccaflow.entry.store.KeyedRecord
 import yuccaflow.entry.store.KeyedStream
 
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/PlannerSimulation.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/PlannerSimulation.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancel
@@ -12,6 +12,9 @@
 import yuccaflow.entry.fake.FakeStoreData
 import yuccaflow.entry.fake.SuspendableProcess
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.keys.FIRST_KEY
+import yuccaflow.entry.keys.FencedKeyRange
+import yuccaflow.entry.keys.LAST_KEY
 import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedStream
 import kotlin.random.Random
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/RangeGrantManagerTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/RangeGrantManagerTest.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancel
@@ -23,6 +23,14 @@
 import yuccaflow.entry.fake.KEYED_SERVICE
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.VirtualTimer
+import yuccaflow.entry.keys.Assignment
+import yuccaflow.entry.keys.FencedKeyRange
+import yuccaflow.entry.keys.FormerHolder
+import yuccaflow.entry.keys.KeyGrantClient
+import yuccaflow.entry.keys.KeyGrantResult
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.TargetEndpoint
+import yuccaflow.entry.keys.incarnationOf
 import yuccaflow.entry.store.KeyedRecord
 
 @DisplayName("The grant manager of key ranges")
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedRouter.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/SimulatedRouter.kt
@@ -1,4 +1,4 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -12,6 +12,9 @@
 import yuccaflow.entry.fake.FakeStore
 import yuccaflow.entry.fake.RecordingEventLog
 import yuccaflow.entry.fake.SuspendableProcess
+import yuccaflow.entry.keys.ClusterState
+import yuccaflow.entry.keys.KeyOwnershipSettings
+import yuccaflow.entry.keys.balance.KeyLoadTracker
 import yuccaflow.entry.store.EraCheckedStore
 import yuccaflow.entry.store.FollowerSettings
 import yuccaflow.entry.store.KeyedStream
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/SimulatedTargets.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/keys/planner/SimulatedTargets.kt
@@ -1,10 +1,14 @@
-package yuccaflow.entry.keys
+package yuccaflow.entry.keys.planner
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import yuccaflow.base.TimerService
 import yuccaflow.entry.directory.TargetEntry
+import yuccaflow.entry.keys.FencedKeyRange
+import yuccaflow.entry.keys.KeyGrantClient
+import yuccaflow.entry.keys.KeyGrantResult
+import yuccaflow.entry.keys.TargetEndpoint
 import kotlin.random.Random
 
 /**
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/PlannerBackedStoreTest.kt
@@ -24,11 +24,11 @@
 import yuccaflow.entry.fake.StubKeyGrantClient
 import yuccaflow.entry.fake.VirtualTimer
 import yuccaflow.entry.keys.ClusterState
-import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.KeyOwnershipSettings
-import yuccaflow.entry.keys.PlannerAuthority
 import yuccaflow.entry.keys.PlannerTerm
 import yuccaflow.entry.keys.RouterMember
+import yuccaflow.entry.keys.balance.KeyLoadTracker
+import yuccaflow.entry.keys.planner.PlannerAuthority
 import yuccaflow.entry.store.FollowerSettings
 import yuccaflow.entry.store.KeyedStore
 import yuccaflow.entry.store.KeyedStream
--- a/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/SilentStoreFailoverTest.kt
+++ b/yuccaflow-entry/src/test/kotlin/yuccaflow/entry/peer/SilentStoreFailoverTest.kt
@@ -27,9 +27,9 @@
 import yuccaflow.entry.fake.StubKeyGrantClient
 import yuccaflow.entry.fake.VirtualTimer
 import yuccaflow.entry.keys.ClusterState
-import yuccaflow.entry.keys.KeyLoadTracker
 import yuccaflow.entry.keys.KeyOwnershipSettings
-import yuccaflow.entry.keys.PlannerAuthority
+import yuccaflow.entry.keys.balance.KeyLoadTracker
+import yuccaflow.entry.keys.planner.PlannerAuthority
 import yuccaflow.entry.store.KeyedAppendResult
 import yuccaflow.entry.store.KeyedChange
 import yuccaflow.entry.store.KeyedStream
