--- /dev/null
+++ b/review/standin-3/Store.java
@@ -0,0 +1,271 @@
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Stand-in for the platform's store: keyed topics with one partition, and consumer groups. Each router reaches it on a port of its own. */
+final class Store {
+    /** How one router reaches the store. */
+    final class Port {
+        final ServerSocket server;
+        final Set<Socket> open = ConcurrentHashMap.newKeySet();
+        /** Whether the store is out of this router's reach: what is sent gets lost. */
+        volatile boolean silent;
+        /** Status with which the store turns this router away, or 0. */
+        volatile int refusal;
+
+        Port() throws IOException {
+            server = new ServerSocket(0, 500, InetAddress.getByName("127.0.0.1"));
+            Threads.start(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        void resetAll() {
+            for (Socket socket : open) Threads.reset(socket);
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    Threads.start(() -> serve(socket));
+                }
+            } catch (IOException closed) {
+                // The stand-in has ended.
+            }
+        }
+
+        private void serve(Socket socket) {
+            open.add(socket);
+            try (socket) {
+                InputStream in = socket.getInputStream();
+                OutputStream out = socket.getOutputStream();
+                while (true) {
+                    Http.Message request = Http.read(in, false);
+                    if (request == null) return;
+                    if (silent) {
+                        Thread.sleep(60_000);
+                        return;
+                    }
+                    byte[] answer = refusal > 0 ? Http.message("HTTP/1.1 " + refusal + " X", "{}", era()) : answer(request);
+                    if (silent) {
+                        Thread.sleep(60_000);
+                        return;
+                    }
+                    out.write(answer);
+                    out.flush();
+                }
+            } catch (IOException | InterruptedException ended) {
+                // The router closes its connections as it likes.
+            } finally {
+                open.remove(socket);
+            }
+        }
+    }
+
+    private static final class Topic {
+        final List<byte[]> records = new ArrayList<>();
+
+        Topic copy() {
+            Topic topic = new Topic();
+            topic.records.addAll(records);
+            return topic;
+        }
+    }
+
+    private static final class Member {
+        long untilNanos;
+    }
+
+    private Map<String, Topic> topics = new HashMap<>();
+    private long era;
+    private final TreeMap<String, Member> members = new TreeMap<>();
+    private String assignee;
+    private long generation;
+    /** Called with each append of the routers, as "key=value" texts. */
+    volatile java.util.function.Consumer<String> onAppend = text -> {};
+
+    Port port() throws IOException {
+        return new Port();
+    }
+
+    private String era() {
+        return "Store-Era: " + era;
+    }
+
+    /** Writes a record as the operator or an upstream does. A null value removes the key. */
+    synchronized void put(String topic, String key, String value) {
+        topics.computeIfAbsent(topic, name -> new Topic()).records.add(record(key, value));
+        notifyAll();
+    }
+
+    /** Returns a copy of all that is stored, to which the store can be set back. */
+    synchronized Object copy() {
+        Map<String, Topic> copied = new HashMap<>();
+        topics.forEach((name, topic) -> copied.put(name, topic.copy()));
+        return copied;
+    }
+
+    /** Sets the store back to a copy, which begins a new era. */
+    @SuppressWarnings("unchecked")
+    synchronized void restore(Object copy) {
+        topics = (Map<String, Topic>) copy;
+        era++;
+        notifyAll();
+    }
+
+    private static byte[] record(String key, String value) {
+        byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
+        byte[] valueBytes = value == null ? new byte[0] : value.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer buffer = ByteBuffer.allocate(1 + keyBytes.length + valueBytes.length);
+        return buffer.put((byte) keyBytes.length).put(keyBytes).put(valueBytes).array();
+    }
+
+    private byte[] answer(Http.Message request) throws InterruptedException {
+        Map<String, String> query = request.query();
+        switch (request.path()) {
+            case "/yuccaflow/log-append": return append(query, request.body);
+            case "/yuccaflow/log-read": return read(query);
+            case "/yuccaflow/log-newest": return newest(query);
+            case "/yuccaflow/log-join": return join(request.text());
+            case "/yuccaflow/log-leave": return leave(request.text());
+            case "/yuccaflow/log-owners": return owners();
+            default: return Http.message("HTTP/1.1 404 Not Found", "{}", era());
+        }
+    }
+
+    private synchronized byte[] append(Map<String, String> query, byte[] body) {
+        Topic topic = topics.computeIfAbsent(query.get("topic"), name -> new Topic());
+        int end = topic.records.size();
+        String at = query.get("at");
+        if (at != null && Long.parseLong(at) != end) {
+            return Http.message("HTTP/1.1 412 Precondition Failed", "{\"end_offset\":" + end + "}", era());
+        }
+        ByteBuffer buffer = ByteBuffer.wrap(body);
+        while (buffer.hasRemaining()) {
+            byte[] record = new byte[buffer.getInt()];
+            buffer.get(record);
+            topic.records.add(record);
+            onAppend.accept(text(record));
+        }
+        notifyAll();
+        return Http.message("HTTP/1.1 200 OK", "{\"offset\":" + end + ",\"end_offset\":" + topic.records.size() + "}", era());
+    }
+
+    private static String text(byte[] record) {
+        int keyLength = record[0] & 0xff;
+        String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
+        return key + "=" + new String(record, 1 + keyLength, record.length - 1 - keyLength, StandardCharsets.UTF_8);
+    }
+
+    private synchronized byte[] read(Map<String, String> query) throws InterruptedException {
+        int from = Integer.parseInt(query.get("from"));
+        long untilNanos = System.nanoTime() + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000;
+        while (true) {
+            Topic topic = topics.get(query.get("topic"));
+            int end = topic == null ? 0 : topic.records.size();
+            if (from > end) return Http.message("HTTP/1.1 410 Gone", "{\"first_offset\":0}", era());
+            long restMs = (untilNanos - System.nanoTime()) / 1_000_000;
+            if (end > from || restMs <= 0) return records(topic, from, end, query);
+            wait(restMs);
+        }
+    }
+
+    private byte[] records(Topic topic, int from, int end, Map<String, String> query) {
+        int limit = Integer.parseInt(query.getOrDefault("maximum_kilobytes", "1024")) * 1024;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(end);
+            out.writeLong(0);
+            for (int offset = from; offset < end && (offset == from || bytes.size() < limit); offset++) {
+                byte[] record = topic.records.get(offset);
+                out.writeInt(record.length);
+                out.write(record);
+            }
+        } catch (IOException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+        return Http.message("HTTP/1.1 200 OK", bytes.toByteArray(), era());
+    }
+
+    private synchronized byte[] newest(Map<String, String> query) {
+        Topic topic = topics.get(query.get("topic"));
+        if (topic == null) return Http.message("HTTP/1.1 404 Not Found", "{}", era());
+        TreeMap<String, String> items = new TreeMap<>();
+        for (int offset = 0; offset < topic.records.size(); offset++) {
+            byte[] record = topic.records.get(offset);
+            int keyEnd = 1 + (record[0] & 0xff);
+            String key = new String(record, 1, keyEnd - 1, StandardCharsets.UTF_8);
+            if (keyEnd == record.length) {
+                items.remove(key);
+                continue;
+            }
+            String value = Base64.getEncoder().encodeToString(java.util.Arrays.copyOfRange(record, keyEnd, record.length));
+            items.put(key, "{\"key\":\"" + key + "\",\"value\":\"" + value + "\",\"offset\":" + offset + "}");
+        }
+        String after = query.get("after");
+        List<String> rest = new ArrayList<>((after == null ? items : items.tailMap(after, false)).values());
+        List<String> page = rest.subList(0, Math.min(500, rest.size()));
+        String body = "{\"items\":[" + String.join(",", page) + "],\"has_more\":" + (page.size() < rest.size())
+            + ",\"end_offset\":" + topic.records.size() + "}";
+        return Http.message("HTTP/1.1 200 OK", body, era());
+    }
+
+    private static String field(String json, String name) {
+        Matcher matcher = Pattern.compile("\"" + name + "\":\"?([^\",}]*)").matcher(json);
+        if (!matcher.find()) throw new IllegalArgumentException("no " + name + " in " + json);
+        return matcher.group(1);
+    }
+
+    private void expireMembers() {
+        boolean changed = members.values().removeIf(member -> member.untilNanos < System.nanoTime());
+        if (assignee == null || !members.containsKey(assignee)) {
+            assignee = members.isEmpty() ? null : members.firstKey();
+            changed = true;
+        }
+        if (changed) generation++;
+    }
+
+    private synchronized byte[] join(String json) {
+        String name = field(json, "member");
+        if (members.get(name) == null) generation++;
+        Member member = members.computeIfAbsent(name, key -> new Member());
+        String ttl = field(json, "ttl_time");
+        member.untilNanos = System.nanoTime() + Long.parseLong(ttl.replace("ms", "")) * 1_000_000;
+        expireMembers();
+        String parts = name.equals(assignee) ? "[[\"keyed.yuccaflow\",0,0]]" : "[]";
+        return Http.message("HTTP/1.1 200 OK", "{\"generation\":" + generation + ",\"parts\":" + parts + "}", era());
+    }
+
+    private synchronized byte[] leave(String json) {
+        members.remove(field(json, "member"));
+        expireMembers();
+        return Http.message("HTTP/1.1 200 OK", "{}", era());
+    }
+
+    private synchronized byte[] owners() {
+        expireMembers();
+        String rows = assignee == null ? "" : "[\"keyed.yuccaflow\",0,\"" + assignee + "\",0]";
+        return Http.message("HTTP/1.1 200 OK", "{\"owners\":[" + rows + "]}", era());
+    }
+}
