--- a/review/standin-3/Case.java
+++ b/review/standin-3/Case.java
@@ -15,9 +15,10 @@
     static void run(String[] args, Play play) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Record record = new Record(Path.of(args[1]));
+        Store store = new Store();
         int outcome;
-        try (Deployment deployment = new Deployment(Path.of(args[0]))) {
-            outcome = play.play(deployment, new Store(), record, trouble);
+        try (Deployment deployment = new Deployment(Path.of(args[0]), store.address())) {
+            outcome = play.play(deployment, store, record, trouble);
         } catch (Exception failed) {
             record.line("the case could not run: " + failed);
             outcome = NOT_RUN;
