--- a/review/standin-3/Deployment.java
+++ b/review/standin-3/Deployment.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -15,6 +17,7 @@
 final class Deployment implements AutoCloseable {
     private static final int LOWEST_PORT = 20_000;
     private static final int HIGHEST_PORT = 32_000;
+    private static final Set<Integer> DRAWN_PORTS = ConcurrentHashMap.newKeySet();
 
     final class Router {
         final String node;
@@ -97,13 +100,19 @@
         return router;
     }
 
-    /** Waits until all routers are ready. Returns false if they are not in time. */
-    boolean awaitReady(long timeoutMs) {
+    /** Waits until all routers are ready. Returns false, and records what is known of the others, if they are not in time. */
+    boolean awaitReady(long timeoutMs, Record record) throws IOException {
         long endNanos = System.nanoTime() + timeoutMs * 1_000_000;
         while (System.nanoTime() < endNanos) {
             if (routers.stream().allMatch(Router::isReady)) return true;
             Threads.sleep(100);
         }
+        for (Router router : routers) {
+            if (router.isReady()) continue;
+            List<String> lines = Files.readAllLines(router.log.toPath());
+            record.line(router.node + " is not ready; its process " + (router.process.isAlive() ? "runs" : "has ended") + "; its log ends: "
+                + lines.subList(Math.max(0, lines.size() - 8), lines.size()));
+        }
         return false;
     }
 
@@ -118,6 +127,7 @@
     private static int freePort() throws IOException {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            if (!DRAWN_PORTS.add(port)) continue;
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return socket.getLocalPort();
             } catch (BindException taken) {
--- a/review/standin-3/RebornCase.java
+++ b/review/standin-3/RebornCase.java
@@ -40,7 +40,7 @@
             all.add(lives[i]);
         }
         for (int i = 0; i < 3; i++) deployment.add("edge-" + i).start();
-        if (!deployment.awaitReady(20_000)) return Case.NOT_RUN;
+        if (!deployment.awaitReady(20_000, record)) return Case.NOT_RUN;
         Threads.sleep(8_000);
         AtomicBoolean ended = new AtomicBoolean();
         AtomicInteger served = new AtomicInteger();
--- a/review/standin-3/SlowReaderCase.java
+++ b/review/standin-3/SlowReaderCase.java
@@ -63,7 +63,7 @@
         }
         upstreams.forEach(upstream -> upstream.register(store));
         for (int i = 0; i < 3; i++) deployment.add("edge-" + i).start();
-        if (!deployment.awaitReady(20_000)) return Case.NOT_RUN;
+        if (!deployment.awaitReady(20_000, record)) return Case.NOT_RUN;
         Threads.sleep(3_000);
 
         Deployment.Router router = deployment.routers.get(0);
