--- a/review/standin-3/SlowReaderCase.java
+++ b/review/standin-3/SlowReaderCase.java
@@ -1,6 +1,5 @@
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -11,41 +10,41 @@
 import java.util.concurrent.CountDownLatch;
 
 /**
- * A router gets SIGTERM while clients slowly read the answers to their bookings. Each client sends a further idempotent request on its
- * connection before the booking's answer has arrived whole.
+ * A router gets SIGTERM while clients slowly read the answers to their requests. Each client sends a further request on its connection before
+ * the answer has arrived whole.
  */
 final class SlowReaderCase {
     private static final int CLIENTS = 6;
-    private static final int ANSWER_BYTES = 30_000;
+    private static final int ANSWER_BYTES = 9_000;
 
     /** The client's receive window. */
     private static final int WINDOW_BYTES = 4_096;
-    private static final int READ_BYTES_PER_S = 7_000;
-    private static final int BOOKING_LIMIT_MS = 6_083;
-    private static final int SIGTERM_AT_MS = 250;
-    private static final int NEXT_REQUEST_AT_MS = 3_400;
+
+    /** At first the client reads slowly, and from {@link #READ_ON_AT_MS} on all that there is. */
+    private static final int READ_BYTES_PER_S = 500;
+    private static final int READ_ON_AT_MS = 3_550;
+    private static final int NEXT_REQUEST_AT_MS = 3_250;
+    private static final int SIGTERM_AT_MS = 150;
+    private static final int ROUTE_TIMEOUT_MS = 4_000;
 
     private static final String CONFIG = "{\"version\":\"r3\",\"routes\":{"
-        + "\"r-book\":{\"host\":\"book.example\",\"path_prefix\":\"/book/\",\"kind\":\"non_idempotent\",\"timeout\":\"6000ms\","
-        + "\"target_latency\":\"1014ms\",\"priority\":1,\"service\":\"disposition\",\"attempts\":2},"
-        + "\"r-stop\":{\"host\":\"stop.example\",\"path_prefix\":\"/stop/\",\"kind\":\"idempotent\",\"timeout\":\"8000ms\","
+        + "\"r-stop\":{\"host\":\"stop.example\",\"path_prefix\":\"/stop/\",\"kind\":\"idempotent\",\"timeout\":\"4000ms\","
         + "\"target_latency\":\"1206ms\",\"priority\":2,\"service\":\"haltestellen\",\"attempts\":2}},"
         + "\"services\":{"
-        + "\"disposition\":{\"health_check_path\":\"/health\",\"connection_limit\":120,\"cold_start\":\"3s\",\"cold_per_s\":14.0},"
         + "\"haltestellen\":{\"health_check_path\":\"/health\",\"connection_limit\":120,\"cold_start\":\"3s\",\"cold_per_s\":14.0}},"
         + "\"limits\":{\"header_bytes\":16384,\"body_bytes\":1048576,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
 
     private SlowReaderCase() {}
 
-    private static final class BookingUpstream extends Upstream {
-        BookingUpstream(String id, Record record) throws IOException {
-            super(id, "disposition", record);
+    private static final class StopUpstream extends Upstream {
+        StopUpstream(String id, Record record) throws IOException {
+            super(id, "haltestellen", record);
         }
 
         @Override
         protected byte[] body(String attempt) {
             byte[] body = new byte[ANSWER_BYTES];
-            Arrays.fill(body, (byte) 'b');
+            Arrays.fill(body, (byte) 's');
             return body;
         }
     }
@@ -58,8 +57,7 @@
         store.put("keyed.op", "config", CONFIG);
         List<Upstream> upstreams = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            upstreams.add(new BookingUpstream("i-booking-" + i, record));
-            upstreams.add(new Upstream("i-stops-" + i, "haltestellen", record));
+            upstreams.add(new StopUpstream("i-stops-" + i, record));
         }
         upstreams.forEach(upstream -> upstream.register(store));
         for (int i = 0; i < 3; i++) deployment.add("edge-" + i).start();
@@ -70,13 +68,12 @@
         List<String> cut = new ArrayList<>();
         CountDownLatch ended = new CountDownLatch(CLIENTS);
         for (int i = 0; i < CLIENTS; i++) {
-            String booking = "book-" + i;
-            int nextAtMs = NEXT_REQUEST_AT_MS + 60 * i;
+            String attempt = "stop-" + i;
             Threads.start(() -> {
-                String outcome = book(router, booking, nextAtMs, record);
-                record.line("client of " + booking + ": " + outcome);
+                String outcome = request(router, attempt, record);
+                record.line("client of " + attempt + ": " + outcome);
                 synchronized (cut) {
-                    if (!outcome.startsWith("whole")) cut.add(booking + ": " + outcome);
+                    if (!outcome.startsWith("whole")) cut.add(attempt + ": " + outcome);
                 }
                 ended.countDown();
             });
@@ -87,37 +84,33 @@
             router.signal("TERM");
         }
         ended.await();
-        for (String booking : cut) record.line("LOST " + booking);
+        for (String attempt : cut) record.line("LOST " + attempt);
         return cut.isEmpty() ? Case.HELD : Case.BROKEN;
     }
 
-    /** Sends a booking and reads its answer slowly. Sends another request meanwhile. Returns "whole", or what the client has seen. */
-    private static String book(Deployment.Router router, String booking, int nextAtMs, Record record) {
+    /** Sends a request and reads its answer slowly. Sends another request meanwhile. Returns "whole", or what the client has seen. */
+    private static String request(Deployment.Router router, String attempt, Record record) {
         long startedMs = record.ms();
-        int got = 0;
+        StringBuilder text = new StringBuilder();
         try (Socket socket = new Socket()) {
             socket.setReceiveBufferSize(WINDOW_BYTES);
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress("127.0.0.1", router.callers), 1_000);
             socket.setSoTimeout(50);
-            OutputStream out = socket.getOutputStream();
             InputStream in = socket.getInputStream();
-            record.line("client sends " + booking);
-            out.write(bytes("POST /book/1 HTTP/1.1\r\nHost: book.example\r\nYuccaflow-Attempt-Id: " + booking
-                + "\r\nYuccaflow-Deadline-Remaining: " + BOOKING_LIMIT_MS + "\r\nContent-Length: 0\r\n\r\n"));
+            record.line("client sends " + attempt);
+            socket.getOutputStream().write(message(attempt));
             boolean hasSentNext = false;
-            StringBuilder text = new StringBuilder();
             byte[] buffer = new byte[512];
             while (true) {
                 long elapsedMs = record.ms() - startedMs;
-                if (elapsedMs > BOOKING_LIMIT_MS) return "the time limit has passed after " + got + " bytes";
-                if (!hasSentNext && elapsedMs >= nextAtMs) {
+                if (elapsedMs > ROUTE_TIMEOUT_MS) return "the route's timeout has passed after " + text.length() + " bytes";
+                if (!hasSentNext && elapsedMs >= NEXT_REQUEST_AT_MS) {
                     hasSentNext = true;
-                    record.line("client sends stop-" + booking + " behind it, having read " + got + " bytes");
-                    out.write(bytes("GET /stop/1 HTTP/1.1\r\nHost: stop.example\r\nYuccaflow-Attempt-Id: stop-" + booking
-                        + "\r\nYuccaflow-Deadline-Remaining: 8041\r\n\r\n"));
+                    record.line("client sends next-" + attempt + " behind it, having read " + text.length() + " bytes");
+                    socket.getOutputStream().write(message("next-" + attempt));
                 }
-                if (got > elapsedMs * READ_BYTES_PER_S / 1_000) {
+                if (elapsedMs < READ_ON_AT_MS && text.length() > elapsedMs * READ_BYTES_PER_S / 1_000) {
                     Threads.sleep(5);
                     continue;
                 }
@@ -127,18 +120,20 @@
                 } catch (SocketTimeoutException silent) {
                     continue;
                 }
-                if (read < 0) return "closed after " + got + " bytes";
-                got += read;
+                if (read < 0) return "closed after " + text.length() + " bytes";
                 text.append(new String(buffer, 0, read, StandardCharsets.ISO_8859_1));
                 int head = text.indexOf("\r\n\r\n");
-                if (head > 0 && text.length() >= head + 4 + ANSWER_BYTES) return "whole: " + text.substring(0, text.indexOf("\r\n"));
+                if (head < 0 || text.length() < head + 4 + ANSWER_BYTES) continue;
+                return "whole after " + (record.ms() - startedMs) + " ms: " + text.substring(0, text.indexOf("\r\n"));
             }
         } catch (IOException failed) {
-            return failed + " after " + got + " bytes and " + (record.ms() - startedMs) + " ms";
+            return failed + " after " + text.length() + " bytes and " + (record.ms() - startedMs) + " ms";
         }
     }
 
-    private static byte[] bytes(String text) {
+    private static byte[] message(String attempt) {
+        String text = "GET /stop/1 HTTP/1.1\r\nHost: stop.example\r\nYuccaflow-Attempt-Id: " + attempt
+            + "\r\nYuccaflow-Deadline-Remaining: 8041\r\n\r\n";
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 }
